--- a/cmd/bluebelldoor/main.go
+++ b/cmd/bluebelldoor/main.go
@@ -14,6 +14,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&serveCommand{}, "")
+	subcommands.Register(&relayCommand{}, "")
 	subcommands.Register(&checkCommand{}, "")
 	subcommands.Register(&statusCommand{}, "")
 	subcommands.Register(&explainCommand{}, "")
--- /dev/null
+++ b/cmd/bluebelldoor/relay.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/hashicorp/go-hclog"
+
+	"bluebelldoor"
+	"bluebelldoor/platform"
+	"bluebelldoor/process/recorder"
+	"bluebelldoor/process/runner"
+	"bluebelldoor/process/timer"
+	"bluebelldoor/version/parser"
+)
+
+// memoryShare is the part of the memory limit that the runtime's heap may use;
+// the rest is for what the kernel counts beside it.
+const memoryShare = 0.7
+
+type relayCommand struct{ settings string }
+
+func (*relayCommand) Name() string     { return "relay" }
+func (*relayCommand) Synopsis() string { return "serve on the users' platform until told to stop" }
+func (*relayCommand) Usage() string {
+	return `bluebelldoor relay -settings FILE
+
+Serves callers on the users' platform: requests are passed on as they are to
+targets that register themselves. SIGTERM or SIGINT is a planned stop, SIGHUP
+has the settings checked anew. A second SIGTERM stops at once.
+
+Exit status: 0 after a planned stop, 1 if the VM could not start, 2 if the
+command line or the settings are wrong.
+
+`
+}
+
+func (c *relayCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "the VM's own settings, JSON with comments")
+}
+
+func (c *relayCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	settings, err := c.read()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	debug.SetMemoryLimit(int64(float64(settings.MemoryMegabytes) * (1 << 20) * memoryShare))
+	sink, flush := recorder.NewSink(os.Stdout)
+	defer flush()
+	log := hclog.New(&hclog.LoggerOptions{
+		Name:       settings.Name,
+		Level:      hclog.LevelFromString(settings.LogLevel),
+		Output:     sink,
+		JSONFormat: true,
+	})
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	r, cleanUp, err := c.start(settings, log)
+	if err != nil {
+		log.Error("start failed", "error", err)
+		return subcommands.ExitFailure
+	}
+	defer cleanUp()
+	c.await(signals, log)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		c.await(signals, log)
+		cancel()
+	}()
+	r.Drain(ctx)
+	return subcommands.ExitSuccess
+}
+
+func (c *relayCommand) read() (*bluebelldoor.RelaySettings, error) {
+	text, err := os.ReadFile(c.settings)
+	if err != nil {
+		return nil, err
+	}
+	return parser.RelaySettings(c.settings, text)
+}
+
+func (c *relayCommand) start(settings *bluebelldoor.RelaySettings, log hclog.Logger) (*runner.Relay, func(), error) {
+	clock, err := timer.New()
+	if err != nil {
+		return nil, nil, err
+	}
+	store, closeStore := platform.NewStore(settings.Catalogue)
+	engines, closeEngines := platform.NewEngines()
+	r, cleanUp, err := runner.NewRelay(settings, runner.RelayAdapters{
+		Codec:          platform.Codec{},
+		Catalogue:      store,
+		Mover:          engines,
+		Clock:          clock,
+		ServeReady:     platform.ServeReady,
+		ServeDirectory: platform.ServeDirectory,
+	}, log)
+	if err != nil {
+		return nil, nil, err
+	}
+	return r, func() {
+		cleanUp()
+		closeStore()
+		closeEngines()
+	}, nil
+}
+
+// await returns at a signal to stop.
+func (c *relayCommand) await(signals <-chan os.Signal, log hclog.Logger) {
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			log.Info("signal to stop", "signal", s.String())
+			return
+		}
+		if _, err := c.read(); err != nil {
+			log.Error("settings refused, those in force stay", "error", err)
+			continue
+		}
+		log.Info("settings read again")
+	}
+}
--- a/code.go
+++ b/code.go
@@ -22,6 +22,7 @@
 	KeyExpired        Code = 108
 	UnknownGeneration Code = 109
 	TooSlow           Code = 110
+	UnknownRoute      Code = 111
 
 	AccountLimit    Code = 201
 	QueueFull       Code = 202
@@ -42,6 +43,8 @@
 	MovedOn         Code = 306
 	AnswerCrossed   Code = 307
 	KeyReused       Code = 308
+	TargetTimeout   Code = 309
+	CallerGone      Code = 310
 
 	Syntax           Code = 401
 	UnknownField     Code = 402
@@ -79,6 +82,7 @@
 	KeyExpired:        {"keyExpired", 409, "the idempotency key has expired"},
 	UnknownGeneration: {"unknownGeneration", 404, "the generation's identity is not valid for this client account"},
 	TooSlow:           {"tooSlow", 408, "the request did not arrive in time"},
+	UnknownRoute:      {"unknownRoute", 404, "no route of the routing in force has this host and path"},
 	AccountLimit:      {"accountLimit", 429, "the client account has reached its limit on this VM"},
 	QueueFull:         {"queueFull", 503, "the queue on this VM is full"},
 	DeadlineTooNear:   {"deadlineTooNear", 503, "the deadline can't be met at the present load"},
@@ -97,6 +101,8 @@
 	MovedOn:           {"movedOn", 503, "this VM is leaving; resume at another VM"},
 	AnswerCrossed:     {"answerCrossed", 502, "the target answered another request"},
 	KeyReused:         {"keyReused", 422, "the key belongs to a different request"},
+	TargetTimeout:     {"targetTimeout", 504, "the time was over before the target had answered"},
+	CallerGone:        {"callerGone", 0, "the caller left before its answer"},
 	Syntax:            {"syntax", 0, "the text is not JSON with comments"},
 	UnknownField:      {"unknownField", 0, "the field is not known"},
 	WrongType:         {"wrongType", 0, "the value has the wrong type"},
--- /dev/null
+++ b/connection/acceptor/acceptor.go
@@ -0,0 +1,248 @@
+package acceptor
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bluebelldoor"
+)
+
+const (
+	// readBuffer holds the largest head that is taken; callers keep to the
+	// limit of the routing in force, which is lower.
+	readBuffer = 32 << 10
+	// defaultIdle, defaultHeader and defaultBody hold before any routing is
+	// known.
+	defaultIdle   = 15 * time.Second
+	defaultHeader = 3 * time.Second
+	defaultBody   = 4 << 20
+	// bodyTimeout bounds how long a body may pause while it is read.
+	bodyTimeout = 10 * time.Second
+	// writeTimeout bounds how long a caller may take no bytes of an answer.
+	writeTimeout = 10 * time.Second
+)
+
+// Handler answers one request. It must end the call with Respond, or with
+// Begin and Finish or Abort.
+type Handler func(ctx context.Context, call *Call)
+
+// Acceptor serves callers at one address.
+type Acceptor struct {
+	handler  Handler
+	limits   func() bluebelldoor.CallerLimits
+	listener net.Listener
+	leaving  atomic.Bool
+	busy     atomic.Int64
+	mu       sync.Mutex
+	conns    map[*connection]struct{}
+}
+
+// New listens on address. limits returns the bounds in force. The clean-up
+// function closes the listener and all connections.
+func New(address string, limits func() bluebelldoor.CallerLimits, handler Handler) (*Acceptor, func(), error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "listen to callers on %s", address)
+	}
+	a := &Acceptor{handler: handler, limits: limits, listener: l, conns: map[*connection]struct{}{}}
+	go a.accept()
+	return a, a.stop, nil
+}
+
+// Leave lets each connection end with the answer that it is waiting for; new
+// connections are still served, one request each.
+func (a *Acceptor) Leave() { a.leaving.Store(true) }
+
+// Busy returns how many requests are being served.
+func (a *Acceptor) Busy() int { return int(a.busy.Load()) }
+
+func (a *Acceptor) stop() {
+	a.listener.Close()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.conns {
+		c.conn.Close()
+	}
+}
+
+func (a *Acceptor) accept() {
+	for {
+		conn, err := a.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// Out of descriptors: wait for connections to end.
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		c := &connection{owner: a, conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}
+		a.mu.Lock()
+		a.conns[c] = struct{}{}
+		a.mu.Unlock()
+		go c.serve()
+	}
+}
+
+func (a *Acceptor) bounds() bluebelldoor.CallerLimits {
+	l := a.limits()
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = defaultIdle
+	}
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = defaultHeader
+	}
+	if l.HeaderBytes <= 0 || l.HeaderBytes > readBuffer {
+		l.HeaderBytes = readBuffer
+	}
+	if l.BodyBytes <= 0 {
+		l.BodyBytes = defaultBody
+	}
+	return l
+}
+
+// connection is one caller's connection.
+type connection struct {
+	owner  *Acceptor
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (c *connection) serve() {
+	defer func() {
+		c.conn.Close()
+		c.owner.mu.Lock()
+		delete(c.owner.conns, c)
+		c.owner.mu.Unlock()
+	}()
+	for c.serveOne() {
+	}
+}
+
+// serveOne takes one request and reports whether another may follow.
+func (c *connection) serveOne() bool {
+	limits := c.owner.bounds()
+	if c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout)) != nil {
+		return false
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return false
+	}
+	c.owner.busy.Add(1)
+	defer c.owner.busy.Add(-1)
+	if c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) != nil {
+		return false
+	}
+	request, body, status := c.read(limits)
+	if status != 0 {
+		c.reject(status)
+		return false
+	}
+	if request == nil {
+		return false
+	}
+	if c.conn.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		// Bytes are the next request; an error is the caller's leaving, or the
+		// deadline set below.
+		if _, err := c.reader.Peek(1); err != nil {
+			cancel()
+		}
+	}()
+	call := &Call{conn: c, Request: request, Body: body, idle: limits.IdleTimeout}
+	call.close = request.Close || request.ProtoMinor == 0
+	c.owner.handler(ctx, call)
+	if !call.kept() {
+		c.conn.Close()
+		<-watched
+		return false
+	}
+	if c.conn.SetReadDeadline(time.Now().Add(-time.Second)) != nil {
+		return false
+	}
+	<-watched
+	return true
+}
+
+// read takes a whole request off the connection. A status above 0 is why it
+// can't be taken; with neither request nor status the caller has left.
+func (c *connection) read(limits bluebelldoor.CallerLimits) (*http.Request, []byte, int) {
+	head, err := peekHead(c.reader, limits.HeaderBytes)
+	switch {
+	case errors.Is(err, errHeadTooLarge):
+		return nil, nil, http.StatusRequestHeaderFieldsTooLarge
+	case isTimeout(err):
+		return nil, nil, http.StatusRequestTimeout
+	case err != nil:
+		return nil, nil, 0
+	}
+	if checkHead(head) != nil {
+		return nil, nil, http.StatusBadRequest
+	}
+	request, err := http.ReadRequest(c.reader)
+	if err != nil || request.ProtoMajor != 1 {
+		return nil, nil, http.StatusBadRequest
+	}
+	if request.ContentLength > int64(limits.BodyBytes) {
+		return nil, nil, http.StatusRequestEntityTooLarge
+	}
+	if request.Header.Get("Expect") != "" {
+		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, nil, 0
+		}
+	}
+	body, status := c.readBody(request, limits.BodyBytes)
+	if status != 0 {
+		return nil, nil, status
+	}
+	return request, body, 0
+}
+
+func (c *connection) readBody(request *http.Request, limit int) ([]byte, int) {
+	if request.ContentLength == 0 {
+		return nil, 0
+	}
+	var body []byte
+	if request.ContentLength > 0 {
+		body = make([]byte, 0, request.ContentLength)
+	}
+	buffer := make([]byte, 8<<10)
+	for {
+		if c.conn.SetReadDeadline(time.Now().Add(bodyTimeout)) != nil {
+			return nil, http.StatusBadRequest
+		}
+		n, err := request.Body.Read(buffer)
+		body = append(body, buffer[:n]...)
+		if len(body) > limit {
+			return nil, http.StatusRequestEntityTooLarge
+		}
+		switch {
+		case err == io.EOF:
+			return body, 0
+		case isTimeout(err):
+			return nil, http.StatusRequestTimeout
+		case err != nil:
+			return nil, http.StatusBadRequest
+		}
+	}
+}
+
+// reject answers a request that was not taken, and closes.
+func (c *connection) reject(status int) {
+	call := &Call{conn: c, close: true}
+	_ = call.Respond(status, http.Header{}, nil)
+}
--- /dev/null
+++ b/connection/exchanger/exchanger.go
@@ -0,0 +1,301 @@
+package exchanger
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bluebelldoor"
+)
+
+const (
+	// dialTimeout is a caller's own patience with a new connection.
+	dialTimeout = time.Second
+	// unackedTimeout ends a connection whose peer acknowledges nothing, as
+	// behind a partition.
+	unackedTimeout = 2 * time.Second
+	// defaultIdle is how long a connection is kept whose target does not say.
+	defaultIdle = 4 * time.Second
+	// idleMargin is taken off what a target says, for the way of the request.
+	idleMargin = time.Second
+	// largeBody is written beside reading the answer, which may come early.
+	largeBody = 16 << 10
+	// maxIdlePerTarget bounds the kept connections.
+	maxIdlePerTarget = 8
+	// readBuffer holds the head of an answer.
+	readBuffer = 8 << 10
+	// maxStray is how many answers to other requests are skipped on a
+	// connection before it is given up.
+	maxStray = 2
+)
+
+// Exchanger keeps connections to targets. It is safe for concurrent use.
+type Exchanger struct {
+	codec bluebelldoor.Codec
+	mu    sync.Mutex
+	idle  map[string][]*channel
+	opens int64
+}
+
+// channel is one connection to a target.
+type channel struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	// until is when the target may close it for idleness.
+	until time.Time
+}
+
+// New returns an exchanger and a clean-up function that closes idle
+// connections.
+func New(codec bluebelldoor.Codec) (*Exchanger, func()) {
+	x := &Exchanger{codec: codec, idle: map[string][]*channel{}}
+	return x, x.closeIdle
+}
+
+// Opened returns how many connections were opened.
+func (x *Exchanger) Opened() int64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.opens
+}
+
+func (x *Exchanger) closeIdle() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, list := range x.idle {
+		for _, c := range list {
+			c.conn.Close()
+		}
+	}
+	x.idle = map[string][]*channel{}
+}
+
+// key tells connections to different starts of targets at one address apart.
+func key(t *bluebelldoor.Instance) string {
+	return fmt.Sprintf("%s/%s/%d", t.Address, t.ID, t.Born)
+}
+
+// Forget closes the idle connections to a target that is gone.
+func (x *Exchanger) Forget(t *bluebelldoor.Instance) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, c := range x.idle[key(t)] {
+		c.conn.Close()
+	}
+	delete(x.idle, key(t))
+}
+
+func (x *Exchanger) take(t *bluebelldoor.Instance) *channel {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	list := x.idle[key(t)]
+	for len(list) > 0 {
+		c := list[len(list)-1]
+		list = list[:len(list)-1]
+		if len(list) == 0 {
+			delete(x.idle, key(t))
+		} else {
+			x.idle[key(t)] = list
+		}
+		if time.Now().Before(c.until) && c.reader.Buffered() == 0 && quiet(c.conn) {
+			return c
+		}
+		c.conn.Close()
+	}
+	return nil
+}
+
+func (x *Exchanger) put(t *bluebelldoor.Instance, c *channel, idle time.Duration) {
+	if idle <= 0 {
+		idle = defaultIdle
+	}
+	c.until = time.Now().Add(min(idle-idleMargin, defaultIdle))
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	list := x.idle[key(t)]
+	if len(list) >= maxIdlePerTarget {
+		c.conn.Close()
+		return
+	}
+	x.idle[key(t)] = append(list, c)
+}
+
+func (x *Exchanger) open(ctx context.Context, t *bluebelldoor.Instance) (*channel, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, ControlContext: limitUnacked}
+	conn, err := dialer.DialContext(ctx, "tcp4", t.Address)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect to target")
+	}
+	x.mu.Lock()
+	x.opens++
+	x.mu.Unlock()
+	return &channel{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
+}
+
+// Outgoing is a request as it goes to one target.
+type Outgoing struct {
+	ID     string
+	Method string
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Fresh asks for a new connection: a request that may run only once is
+	// not risked on one that the target may just have closed.
+	Fresh bool
+	// Permit is asked as the last step before bytes leave.
+	Permit func() error
+}
+
+// Send sends a request once and waits for the head of its answer. The error is
+// a *bluebelldoor.SendError, or that of Permit. When ctx ends, the connection
+// is closed, which makes a target drop the request.
+func (x *Exchanger) Send(ctx context.Context, t *bluebelldoor.Instance, o *Outgoing) (*Answer, error) {
+	var c *channel
+	if !o.Fresh {
+		c = x.take(t)
+	}
+	if c == nil {
+		opened, err := x.open(ctx, t)
+		if err != nil {
+			return nil, &bluebelldoor.SendError{Executed: bluebelldoor.ExecutedNo, Cause: err}
+		}
+		c = opened
+	}
+	if err := o.Permit(); err != nil {
+		x.put(t, c, 0)
+		return nil, err
+	}
+	a := &Answer{owner: x, target: t, channel: c, written: make(chan error, 1)}
+	a.unwatch = context.AfterFunc(ctx, func() { c.conn.Close() })
+	if err := a.exchange(o); err != nil {
+		a.Close()
+		return nil, &bluebelldoor.SendError{Executed: bluebelldoor.ExecutedUnknown, Crossed: errors.Is(err, errCrossed), Cause: err}
+	}
+	return a, nil
+}
+
+var errCrossed = errors.New("the target answered another request")
+
+// Answer is a target's answer whose head has been read.
+type Answer struct {
+	owner    *Exchanger
+	target   *bluebelldoor.Instance
+	channel  *channel
+	unwatch  func() bool
+	written  chan error
+	response *http.Response
+	head     bluebelldoor.AnswerHead
+	ended    bool
+	closed   bool
+}
+
+func (a *Answer) exchange(o *Outgoing) error {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", o.Method, o.URI, o.Host)
+	_ = o.Header.Write(&b) // a buffer takes all
+	if len(o.Body) > 0 || o.Method != http.MethodGet && o.Method != http.MethodHead {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(o.Body))
+	}
+	b.WriteString("\r\n")
+	b.Write(o.Body)
+	write := func() error {
+		_, err := a.channel.conn.Write(b.Bytes())
+		return errors.Wrap(err, "write request")
+	}
+	if len(o.Body) > largeBody {
+		go func() { a.written <- write() }()
+	} else {
+		err := write()
+		a.written <- err
+		if err != nil {
+			return err
+		}
+	}
+	return a.readHead(o)
+}
+
+// readHead reads the head of the answer. Interim answers are skipped, and so
+// are late answers to requests that were sent on the connection before.
+func (a *Answer) readHead(o *Outgoing) error {
+	for strays := 0; strays <= maxStray; {
+		response, err := http.ReadResponse(a.channel.reader, &http.Request{Method: o.Method})
+		if err != nil {
+			return errors.Wrap(err, "read answer")
+		}
+		if response.StatusCode < 200 {
+			continue
+		}
+		a.response, a.head = response, a.owner.codec.Answer(response)
+		if a.head.RequestID == "" || a.head.RequestID == o.ID {
+			return nil
+		}
+		a.ended = true // the connection is not kept after a stray answer
+		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+			return errCrossed
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return errors.Wrap(errCrossed, err.Error())
+		}
+		strays++
+	}
+	return errCrossed
+}
+
+// Response returns the head of the answer.
+func (a *Answer) Response() *http.Response { return a.response }
+
+// Head returns what the product knows of the answer.
+func (a *Answer) Head() bluebelldoor.AnswerHead { return a.head }
+
+// Read reads the body. io.EOF means that the answer is whole.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.response.Body.Read(p)
+	if err == io.EOF {
+		a.keep()
+	}
+	return n, err
+}
+
+// Unframed reports whether the answer ends with its connection.
+func (a *Answer) Unframed() bool {
+	return a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0
+}
+
+// keep gives the connection back if nothing speaks against it.
+func (a *Answer) keep() {
+	if a.closed {
+		return
+	}
+	sent := false
+	select {
+	case err := <-a.written:
+		sent = err == nil
+	default:
+	}
+	usable := sent && !a.ended && !a.response.Close && !a.Unframed() && a.channel.reader.Buffered() == 0
+	if !usable || !a.unwatch() {
+		a.Close()
+		return
+	}
+	a.closed = true
+	a.owner.put(a.target, a.channel, a.head.IdleFor)
+}
+
+// Close gives the answer up and closes its connection, unless it was whole.
+func (a *Answer) Close() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	a.unwatch()
+	a.channel.conn.Close()
+}
--- a/connection/listener/operator.go
+++ b/connection/listener/operator.go
@@ -25,6 +25,18 @@
 		}
 		c.JSON(200, steps)
 	})
-	h.GET("/metrics", adaptor.HertzHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})))
+	h.GET("/metrics", metrics(registry))
 	return server.Start(h, address)
 }
+
+// ServeMetrics listens at address for /metrics alone. It returns a clean-up
+// function.
+func ServeMetrics(address string, registry *prometheus.Registry) (func(), error) {
+	h := server.New(address)
+	h.GET("/metrics", metrics(registry))
+	return server.Start(h, address)
+}
+
+func metrics(registry *prometheus.Registry) app.HandlerFunc {
+	return adaptor.HertzHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+}
--- a/connection/messenger/messenger.go
+++ b/connection/messenger/messenger.go
@@ -109,7 +109,10 @@
 }
 
 // service describes the calls to drpc.
-type service struct{ seal seal }
+type service struct {
+	seal    seal
+	methods []method
+}
 
 type method struct {
 	name     string
@@ -132,21 +135,26 @@
 }
 
 // NumMethods implements drpc.Description.
-func (s service) NumMethods() int { return len(methods) }
+func (s service) NumMethods() int { return len(s.methods) }
 
 // Method implements drpc.Description.
 func (s service) Method(n int) (string, drpc.Encoding, drpc.Receiver, interface{}, bool) {
-	if n < 0 || n >= len(methods) {
+	if n < 0 || n >= len(s.methods) {
 		return "", nil, nil, nil, false
 	}
-	return methods[n].name, s.seal, methods[n].receiver, methods[n].method, true
+	m := s.methods[n]
+	return m.name, s.seal, m.receiver, m.method, true
 }
 
 // Serve answers peers at address by handler. The clean-up function stops it
 // and waits for calls under way.
 func Serve(address string, secret []byte, handler bluebelldoor.PeerHandler) (func(), error) {
+	return serve(address, handler, service{seal{secret}, methods})
+}
+
+func serve(address string, handler any, description service) (func(), error) {
 	mux := drpcmux.New()
-	if err := mux.Register(handler, service{seal{secret}}); err != nil {
+	if err := mux.Register(handler, description); err != nil {
 		return nil, errors.Wrap(err, "register peer calls")
 	}
 	listener, err := net.Listen("tcp", address)
--- /dev/null
+++ b/fleet.go
@@ -0,0 +1,67 @@
+package bluebelldoor
+
+import "context"
+
+// MemberState is what a VM says of itself to its peers.
+type MemberState struct {
+	Name string `cbor:"name"`
+	// Incarnation is the time of the process's start; a higher one replaces a
+	// lower one.
+	Incarnation int64 `cbor:"incarnation"`
+	// Heartbeat grows with each round of the VM.
+	Heartbeat     uint64 `cbor:"heartbeat"`
+	DataCentre    string `cbor:"dataCentre"`
+	CallerAddress string `cbor:"callerAddress"`
+	PeerAddress   string `cbor:"peerAddress"`
+	Ready         bool   `cbor:"ready"`
+	Leaving       bool   `cbor:"leaving"`
+	// Loads is what the VM has on the targets.
+	Loads []TargetLoad `cbor:"loads,omitempty"`
+	// RetryNeed is the VM's requests of the last budget window by service.
+	Requests map[string]int `cbor:"requests,omitempty"`
+}
+
+// TargetLoad is what one VM has on one target.
+type TargetLoad struct {
+	Target   string `cbor:"target"`
+	Requests int    `cbor:"requests"`
+	// Tokens is the memory that the VM's generations there will come to need.
+	Tokens int `cbor:"tokens"`
+	// Prefill is how many tokens of prompts there wait to be read.
+	Prefill int `cbor:"prefill"`
+}
+
+// ExchangeMessage carries the states of members, both ways.
+type ExchangeMessage struct {
+	From    string        `cbor:"from"`
+	Members []MemberState `cbor:"members"`
+}
+
+// TurnRequest asks for the right to copy from a source.
+type TurnRequest struct {
+	From   string `cbor:"from"`
+	Source string `cbor:"source"`
+	// Request is the generation that is to be copied.
+	Request string `cbor:"request"`
+	// Tokens is its size; the smallest goes first.
+	Tokens int `cbor:"tokens"`
+	// Release gives the turn back.
+	Release bool `cbor:"release"`
+}
+
+// TurnReply answers a TurnRequest.
+type TurnReply struct {
+	Granted bool `cbor:"granted"`
+}
+
+// FleetPeers reaches other VMs by their peer address.
+type FleetPeers interface {
+	Exchange(ctx context.Context, address string, in *ExchangeMessage) (*ExchangeMessage, error)
+	Turn(ctx context.Context, address string, in *TurnRequest) (*TurnReply, error)
+}
+
+// FleetHandler answers what peers ask.
+type FleetHandler interface {
+	Exchange(ctx context.Context, in *ExchangeMessage) (*ExchangeMessage, error)
+	Turn(ctx context.Context, in *TurnRequest) (*TurnReply, error)
+}
--- /dev/null
+++ b/process/gossiper/table.go
@@ -0,0 +1,119 @@
+package gossiper
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"bluebelldoor"
+)
+
+const (
+	// aliveFor is how long a member counts as alive after its last heartbeat
+	// that was news: several rounds, and well under the time after which the
+	// directory must not name the dead.
+	aliveFor = 2500 * time.Millisecond
+	// forgetAfter is how long a dead member is kept, so that old news of it
+	// does not bring it back.
+	forgetAfter = 30 * time.Second
+)
+
+// member is what is known of a VM.
+type member struct {
+	state bluebelldoor.MemberState
+	heard time.Duration
+}
+
+// Table holds the members that one VM knows. It is not safe for concurrent
+// use.
+type Table struct {
+	self    bluebelldoor.MemberState
+	members map[string]*member
+}
+
+// NewTable returns a table with the VM itself.
+func NewTable(self bluebelldoor.MemberState) *Table {
+	return &Table{self: self, members: map[string]*member{}}
+}
+
+// Self returns what the VM says of itself.
+func (t *Table) Self() bluebelldoor.MemberState { return t.self }
+
+// Beat starts a new round with what the VM now says of itself.
+func (t *Table) Beat(update func(*bluebelldoor.MemberState)) {
+	t.self.Heartbeat++
+	update(&t.self)
+}
+
+// Merge takes news, heard at now from the member named from. It returns the
+// members with news that they told themselves.
+func (t *Table) Merge(from string, news []bluebelldoor.MemberState, now time.Duration) []bluebelldoor.MemberState {
+	var direct []bluebelldoor.MemberState
+	for _, s := range news {
+		if s.Name == t.self.Name {
+			t.refute(s)
+			continue
+		}
+		if t.merge(s, s.Name == from, now) && s.Name == from {
+			direct = append(direct, s)
+		}
+	}
+	return direct
+}
+
+// refute outdoes news of an earlier process of this VM.
+func (t *Table) refute(s bluebelldoor.MemberState) {
+	if s.Incarnation > t.self.Incarnation {
+		t.self.Incarnation = s.Incarnation + 1
+	}
+}
+
+func (t *Table) merge(s bluebelldoor.MemberState, direct bool, now time.Duration) bool {
+	known := t.members[s.Name]
+	if known == nil {
+		if !direct {
+			// Loads are told by their owner only.
+			s.Loads, s.Requests = nil, nil
+		}
+		t.members[s.Name] = &member{state: s, heard: now}
+		return true
+	}
+	newer := s.Incarnation > known.state.Incarnation ||
+		s.Incarnation == known.state.Incarnation && s.Heartbeat > known.state.Heartbeat
+	if !newer {
+		return false
+	}
+	if !direct {
+		s.Loads, s.Requests = known.state.Loads, known.state.Requests
+	}
+	known.state, known.heard = s, now
+	return true
+}
+
+// News returns the states to send to a peer.
+func (t *Table) News(now time.Duration) []bluebelldoor.MemberState {
+	out := []bluebelldoor.MemberState{t.self}
+	for name, m := range t.members {
+		switch silent := now - m.heard; {
+		case silent > forgetAfter:
+			delete(t.members, name)
+		case silent <= aliveFor:
+			s := m.state
+			s.Loads, s.Requests = nil, nil
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Alive returns the members that are alive, the VM itself included, by name.
+func (t *Table) Alive(now time.Duration) []bluebelldoor.MemberState {
+	out := []bluebelldoor.MemberState{t.self}
+	for _, m := range t.members {
+		if now-m.heard <= aliveFor {
+			out = append(out, m.state)
+		}
+	}
+	slices.SortFunc(out, func(a, b bluebelldoor.MemberState) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
--- /dev/null
+++ b/request/placer/ledger.go
@@ -0,0 +1,161 @@
+package placer
+
+import (
+	"time"
+
+	"bluebelldoor"
+)
+
+const (
+	// failureWeight is the weight of the newest answer in a target's share of
+	// failures.
+	failureWeight = 0.2
+	// peerStale is the age at which a peer's loads no longer count; they come
+	// several times a second.
+	peerStale = 3 * time.Second
+)
+
+// load is what runs on a target.
+type load struct {
+	requests int
+	tokens   int
+	prefill  int
+}
+
+// Ledger keeps what this VM and its peers have on the targets, and how the
+// targets have done. It is not safe for concurrent use.
+type Ledger struct {
+	own      map[string]*load
+	peers    map[string]peerLoads
+	failures map[string]float64
+	sums     map[string]load
+	dirty    bool
+	cold     map[string][]time.Duration
+}
+
+type peerLoads struct {
+	at    time.Duration
+	loads map[string]load
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{
+		own:      map[string]*load{},
+		peers:    map[string]peerLoads{},
+		failures: map[string]float64{},
+		sums:     map[string]load{},
+		cold:     map[string][]time.Duration{},
+	}
+}
+
+// Stay is one request of this VM on a target.
+type Stay struct {
+	ledger  *Ledger
+	target  string
+	tokens  int
+	prefill int
+	ended   bool
+}
+
+// Start notes that a request goes to a target. tokens is the memory that it
+// will come to need there, prefill the part of its prompt to be read.
+func (l *Ledger) Start(target string, tokens, prefill int) *Stay {
+	own := l.own[target]
+	if own == nil {
+		own = &load{}
+		l.own[target] = own
+	}
+	own.requests++
+	own.tokens += tokens
+	own.prefill += prefill
+	l.dirty = true
+	return &Stay{ledger: l, target: target, tokens: tokens, prefill: prefill}
+}
+
+// Read notes that the prompt has been read.
+func (s *Stay) Read() {
+	if s.ended || s.prefill == 0 {
+		return
+	}
+	s.ledger.own[s.target].prefill -= s.prefill
+	s.prefill = 0
+	s.ledger.dirty = true
+}
+
+// End notes that the request has left the target.
+func (s *Stay) End() {
+	if s.ended {
+		return
+	}
+	s.Read()
+	s.ended = true
+	own := s.ledger.own[s.target]
+	own.requests--
+	own.tokens -= s.tokens
+	if own.requests == 0 {
+		delete(s.ledger.own, s.target)
+	}
+	s.ledger.dirty = true
+}
+
+// Outcome notes whether a target served a request.
+func (l *Ledger) Outcome(target string, failed bool) {
+	x := 0.0
+	if failed {
+		x = 1
+	}
+	l.failures[target] += failureWeight * (x - l.failures[target])
+}
+
+// Forget drops what is known of a target that is gone.
+func (l *Ledger) Forget(target string) {
+	delete(l.failures, target)
+	delete(l.cold, target)
+}
+
+// Own returns this VM's loads, for its peers.
+func (l *Ledger) Own() []bluebelldoor.TargetLoad {
+	out := make([]bluebelldoor.TargetLoad, 0, len(l.own))
+	for target, own := range l.own {
+		out = append(out, bluebelldoor.TargetLoad{Target: target, Requests: own.requests, Tokens: own.tokens, Prefill: own.prefill})
+	}
+	return out
+}
+
+// Peer takes a peer's loads, told at now.
+func (l *Ledger) Peer(name string, loads []bluebelldoor.TargetLoad, now time.Duration) {
+	p := peerLoads{at: now, loads: make(map[string]load, len(loads))}
+	for _, t := range loads {
+		p.loads[t.Target] = load{requests: t.Requests, tokens: t.Tokens, prefill: t.Prefill}
+	}
+	l.peers[name] = p
+	l.dirty = true
+}
+
+// settle adds the peers' loads up.
+func (l *Ledger) settle(now time.Duration) {
+	for name, p := range l.peers {
+		if now-p.at > peerStale {
+			delete(l.peers, name)
+			l.dirty = true
+		}
+	}
+	if !l.dirty {
+		return
+	}
+	l.dirty = false
+	clear(l.sums)
+	for target, own := range l.own {
+		l.sums[target] = *own
+	}
+	for _, p := range l.peers {
+		for target, peer := range p.loads {
+			sum := l.sums[target]
+			sum.requests += peer.requests
+			sum.tokens += peer.tokens
+			sum.prefill += peer.prefill
+			l.sums[target] = sum
+		}
+	}
+}
--- /dev/null
+++ b/request/placer/placer.go
@@ -0,0 +1,154 @@
+package placer
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"bluebelldoor"
+)
+
+// Weights of the parts of a target's cost. One unit is a target that is half
+// full; the lowest cost is chosen.
+const (
+	// prefillUnit is how many tokens of prompts before a new one weigh a unit:
+	// engines read about that many in half a second.
+	prefillUnit = 7000
+	// awayCost weighs a target in another data centre.
+	awayCost = 0.03
+	// coldCost weighs a target that is still cold.
+	coldCost = 0.5
+	// failureCost weighs a target all of whose answers are failures beyond
+	// those of the others.
+	failureCost = 8
+	// lapsedCost weighs a target whose entry has gone in an outage.
+	lapsedCost = 4
+	// fullCost weighs a target without a place or memory for the request.
+	fullCost = 100
+	// jitter breaks ties between VMs that see the same loads.
+	jitter = 0.05
+)
+
+// Candidate is a target that may be used.
+type Candidate struct {
+	Instance *bluebelldoor.Instance
+	Cold     bool
+	Lapsed   bool
+}
+
+// Demand is what a request needs.
+type Demand struct {
+	// Tokens is the memory that it will come to need, 0 if it is no generation.
+	Tokens     int
+	DataCentre string
+	Engine     *bluebelldoor.EngineKind
+	// ColdPerSecond is how many requests a cold target may get from this VM in
+	// a second; below 0 there is no limit.
+	ColdPerSecond float64
+	// Near makes targets of the data centre go first.
+	Near bool
+}
+
+// Choice is the outcome of Pick.
+type Choice struct {
+	// Index is that of the chosen candidate, -1 for none.
+	Index int
+	Cost  float64
+	// Full tells that the chosen candidate has no place or memory left.
+	Full bool
+}
+
+// Pick chooses the candidate with the lowest cost at now. random returns
+// numbers from 0 to 1.
+func (l *Ledger) Pick(candidates []Candidate, d Demand, now time.Duration, random func() float64) Choice {
+	l.settle(now)
+	best := Choice{Index: -1, Cost: math.Inf(1)}
+	usual := l.usualFailures(candidates)
+	for i, c := range candidates {
+		if c.Cold && !l.coldRoom(c.Instance.ID, d.ColdPerSecond, now) {
+			continue
+		}
+		cost, full := l.cost(c, d, usual)
+		cost += jitter * random()
+		if cost < best.Cost {
+			best = Choice{Index: i, Cost: cost, Full: full}
+		}
+	}
+	return best
+}
+
+// usualFailures returns the median share of failures, which belongs to the
+// requests rather than to a target.
+func (l *Ledger) usualFailures(candidates []Candidate) float64 {
+	var shares []float64
+	for _, c := range candidates {
+		shares = append(shares, l.failures[c.Instance.ID])
+	}
+	return median(shares)
+}
+
+func (l *Ledger) cost(c Candidate, d Demand, usual float64) (float64, bool) {
+	sum := l.sums[c.Instance.ID]
+	cost := failureCost * math.Max(0, l.failures[c.Instance.ID]-usual)
+	if c.Instance.DataCentre != d.DataCentre {
+		cost += awayCost
+		if d.Near {
+			cost++
+		}
+	}
+	if c.Cold {
+		cost += coldCost
+	}
+	if c.Lapsed {
+		cost += lapsedCost
+	}
+	full := false
+	if slots := c.Instance.Slots; slots > 0 {
+		share := float64(sum.requests) / float64(slots)
+		cost += 2 * share
+		full = sum.requests >= slots
+	}
+	if d.Engine != nil && d.Tokens > 0 {
+		share := float64(sum.tokens+d.Tokens) / float64(max(1, d.Engine.MemoryTokens))
+		cost += 2*share*share*share + float64(sum.prefill)/prefillUnit
+		full = full || share > 1
+	}
+	if full {
+		cost += fullCost
+	}
+	return cost, full
+}
+
+// coldRoom reports whether this VM may send a cold target another request.
+func (l *Ledger) coldRoom(target string, perSecond float64, now time.Duration) bool {
+	if perSecond < 0 {
+		return true
+	}
+	recent := 0
+	for _, at := range l.cold[target] {
+		if now-at < time.Second {
+			recent++
+		}
+	}
+	return float64(recent+1) <= perSecond
+}
+
+// SentCold notes that a cold target gets a request.
+func (l *Ledger) SentCold(target string, now time.Duration) {
+	kept := l.cold[target][:0]
+	for _, at := range l.cold[target] {
+		if now-at < time.Second {
+			kept = append(kept, at)
+		}
+	}
+	l.cold[target] = append(kept, now)
+}
+
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(values)
+	slices.Sort(sorted)
+	return sorted[(len(sorted)-1)/2]
+}
--- /dev/null
+++ b/request/relayer/move.go
@@ -0,0 +1,191 @@
+package relayer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bluebelldoor"
+	"bluebelldoor/process/registrar"
+	"bluebelldoor/request/placer"
+)
+
+const (
+	// moveTries bounds the destinations that are tried for a generation.
+	moveTries = 4
+	// beginPoll and beginWait bound the wait for a generation's first event:
+	// before it there is nothing to copy.
+	beginPoll = 30 * time.Millisecond
+	beginWait = 3 * time.Second
+	// busyPause is the pause after a source that is copying already.
+	busyPause = 20 * time.Millisecond
+)
+
+// Leaving moves the generations off a target that takes no new work.
+func (r *Relayer) Leaving(t *registrar.Target) {
+	go func() {
+		for _, s := range r.on(t) {
+			go s.job.moveOne(s, t)
+		}
+	}()
+}
+
+// on returns the streams that run on a target.
+func (r *Relayer) on(t *registrar.Target) []*stream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*stream
+	for s := range r.streams {
+		if s.at(t) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// at reports whether the stream still runs on a target.
+func (s *stream) at(t *registrar.Target) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.ended && s.move == nil && s.target.ID == t.ID && s.target.Born == t.Born
+}
+
+func (s *stream) progress() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.made
+}
+
+// moveOne takes a generation to another engine: a first copy while it runs,
+// then a last one after it has stopped.
+func (j *job) moveOne(s *stream, t *registrar.Target) {
+	if j.service.Engine == nil || !j.service.Engine.Moves || !s.awaitBegin(t) {
+		return
+	}
+	tokens := j.request.PromptTokens + s.progress()*j.service.Engine.TokensPerEvent
+	release := j.Turns.Acquire(j.ctx, t.ID, j.request.ID, tokens)
+	defer release()
+	tried := map[string]bool{t.ID: true}
+	for range moveTries {
+		if !s.at(t) || j.ctx.Err() != nil {
+			return
+		}
+		destination, stay := j.destination(t, tried, tokens)
+		if destination == nil {
+			j.Metrics.Moved("noRoom")
+			j.log.Warn("no engine can take a generation", "id", j.request.ID, "source", t.ID, "tokens", tokens)
+			return
+		}
+		if j.copyTo(s, t, destination, stay) {
+			return
+		}
+		j.end(stay)
+		tried[destination.ID] = true
+	}
+}
+
+func (s *stream) awaitBegin(t *registrar.Target) bool {
+	for waited := time.Duration(0); waited < beginWait; waited += beginPoll {
+		if !s.at(t) {
+			return false
+		}
+		if s.progress() > 0 {
+			return true
+		}
+		time.Sleep(beginPoll)
+	}
+	return false
+}
+
+// destination chooses an engine for a copy, near the source: copies between
+// data centres take twice as long.
+func (j *job) destination(source *registrar.Target, tried map[string]bool, tokens int) (*registrar.Target, *placer.Stay) {
+	now := j.clock.Now()
+	targets, candidates := j.candidates(now)
+	kept := 0
+	for i, t := range targets {
+		if !tried[t.ID] {
+			targets[kept], candidates[kept] = t, candidates[i]
+			kept++
+		}
+	}
+	demand := j.demand()
+	demand.DataCentre, demand.Near = source.DataCentre, true
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	choice := j.ledger.Pick(candidates[:kept], demand, now, rand.Float64)
+	if choice.Index < 0 {
+		return nil, nil
+	}
+	return targets[choice.Index], j.ledger.Start(targets[choice.Index].ID, max(tokens, demand.Tokens), 0)
+}
+
+// copyTo copies a generation to a destination and reports whether there is
+// nothing left to do.
+func (j *job) copyTo(s *stream, source, destination *registrar.Target, stay *placer.Stay) bool {
+	began := j.clock.Now()
+	first, err := j.copy(source, destination, false)
+	if err != nil {
+		return j.copyFailed(s, source, destination, err)
+	}
+	took := j.clock.Now() - began
+	m := &move{done: make(chan struct{}), target: destination, stay: stay}
+	s.mu.Lock()
+	running := !s.ended && s.move == nil && s.target.ID == source.ID
+	if running {
+		s.move = m
+	}
+	s.mu.Unlock()
+	if !running {
+		j.free(source, first.Handle)
+		j.end(stay)
+		return true
+	}
+	defer close(m.done)
+	last, err := j.copy(source, destination, true)
+	var failed *bluebelldoor.CopyError
+	switch {
+	case err == nil:
+		m.copied = last.Copy
+	case errors.As(err, &failed) && failed.Stopped != "":
+		m.copied, m.target = failed.Stopped, source
+	default:
+		j.log.Warn("last copy failed", "id", j.request.ID, "source", source.ID, "target", destination.ID, "error", err)
+		j.Metrics.Moved("lastCopyFailed")
+		j.end(stay)
+	}
+	j.log.Info("generation copied", "id", j.request.ID, "source", source.ID, "target", destination.ID,
+		"firstMs", took.Milliseconds(), "bothMs", (j.clock.Now() - began).Milliseconds(), "events", last.Events, "copied", m.copied)
+	return true
+}
+
+// copy repeats a copy while the source is busy with another of the same run.
+func (j *job) copy(source, destination *registrar.Target, stop bool) (bluebelldoor.CopyResult, error) {
+	for {
+		result, err := j.Mover.Copy(j.ctx, source.Instance, destination.Instance, j.request.ID, stop)
+		var failed *bluebelldoor.CopyError
+		if err == nil || !errors.As(err, &failed) || failed.Status != 409 || j.ctx.Err() != nil {
+			return result, err
+		}
+		time.Sleep(busyPause)
+	}
+}
+
+// copyFailed handles a first copy that failed; the generation runs on.
+func (j *job) copyFailed(s *stream, source, destination *registrar.Target, err error) bool {
+	j.log.Warn("first copy failed", "id", j.request.ID, "source", source.ID, "target", destination.ID, "error", err)
+	j.Metrics.Moved("firstCopyFailed")
+	return !s.at(source)
+}
+
+// free drops a copy that is not used. It is not bound to the request, whose
+// caller may have left.
+func (j *job) free(source *registrar.Target, handle string) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := j.Mover.Free(ctx, source.Instance, handle); err != nil {
+		j.log.Warn("copy not freed", "id", j.request.ID, "source", source.ID, "handle", handle, "error", err)
+	}
+}
--- /dev/null
+++ b/request/relayer/stream.go
@@ -0,0 +1,296 @@
+package relayer
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"bluebelldoor"
+	"bluebelldoor/connection/exchanger"
+	"bluebelldoor/process/registrar"
+	"bluebelldoor/request/placer"
+)
+
+const (
+	// copyWait bounds how long a stream waits for the word of its last copy
+	// after its engine has ended it.
+	copyWait = time.Second
+	// streamBuffer holds some events.
+	streamBuffer = 8 << 10
+)
+
+// stream is an answer of events on its way to the caller.
+type stream struct {
+	job    *job
+	events events
+
+	mu     sync.Mutex
+	target *registrar.Target
+	made   int // events passed on
+	move   *move
+	ended  bool
+}
+
+// move is a last copy under way: the engine ends the stream, which goes on
+// from the copy.
+type move struct {
+	done   chan struct{}
+	target *registrar.Target
+	copied string
+	stay   *placer.Stay
+}
+
+func (j *job) end(stay *placer.Stay) {
+	if stay == nil {
+		return
+	}
+	j.mu.Lock()
+	stay.End()
+	j.mu.Unlock()
+}
+
+// read notes that a request's prompt has been read.
+func (j *job) read(stay *placer.Stay) {
+	if stay == nil {
+		return
+	}
+	j.mu.Lock()
+	stay.Read()
+	j.mu.Unlock()
+}
+
+// stream passes events on as they come, also from other engines.
+func (j *job) stream(t *registrar.Target, answer *exchanger.Answer, stay *placer.Stay) {
+	s := &stream{job: j, target: t}
+	j.mu.Lock()
+	j.streams[s] = struct{}{}
+	j.mu.Unlock()
+	defer j.drop(s)
+	if err := j.call.Begin(answer.Response().StatusCode, j.Codec.AnswerHeader(answer.Response()), !answer.Unframed()); err != nil {
+		j.note("caller left", bluebelldoor.CallerGone, err.Error(), "target", t.ID)
+		return
+	}
+	if !j.sources.View().Open(t.Instance) {
+		// The target's notice came while the request was on its way.
+		go j.moveOne(s, t)
+	}
+	moves := 0
+	defer func() {
+		if answer != nil {
+			answer.Close()
+		}
+		j.end(stay)
+	}()
+	for {
+		err := s.pump(answer, stay)
+		if err == nil {
+			j.note("answered", bluebelldoor.OK, "", "target", s.target.ID, "events", s.made, "moves", moves)
+			return
+		}
+		answer.Close()
+		j.end(stay)
+		if j.ctx.Err() != nil {
+			s.abort(err)
+			return
+		}
+		answer, stay = s.goOn(err)
+		if answer == nil {
+			s.abort(err)
+			return
+		}
+		moves++
+	}
+}
+
+func (j *job) drop(s *stream) {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+	j.mu.Lock()
+	delete(j.streams, s)
+	j.mu.Unlock()
+}
+
+// abort ends a stream that can't go on, so that it looks broken.
+func (s *stream) abort(err error) {
+	j := s.job
+	code, detail := bluebelldoor.TargetLost, err.Error()
+	switch {
+	case j.expired():
+		code = bluebelldoor.TargetTimeout
+	case j.ctx.Err() != nil:
+		code = bluebelldoor.CallerGone
+	}
+	j.note("broken off", code, detail, "target", s.target.ID, "events", s.made, "lastEvent", s.events.lastID)
+	j.call.Abort()
+}
+
+// pump passes whole events on until the answer ends. It returns nil if the
+// answer was whole.
+func (s *stream) pump(answer *exchanger.Answer, stay *placer.Stay) error {
+	buffer := make([]byte, streamBuffer)
+	for {
+		n, err := answer.Read(buffer)
+		if n > 0 {
+			if failed := s.pass(buffer[:n], stay); failed != nil {
+				return failed
+			}
+		}
+		if err == io.EOF {
+			if rest := s.events.partial; len(rest) > 0 {
+				if failed := s.job.call.Write(rest); failed != nil {
+					return failed
+				}
+			}
+			return s.job.call.Finish()
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (s *stream) pass(part []byte, stay *placer.Stay) error {
+	whole := s.events.add(part)
+	if len(whole) == 0 {
+		return nil
+	}
+	if err := s.job.call.Write(whole); err != nil {
+		return err
+	}
+	first := s.made == 0
+	s.mu.Lock()
+	s.made = s.events.count
+	s.mu.Unlock()
+	s.events.taken(len(whole))
+	if first {
+		s.job.read(stay)
+		s.job.Metrics.FirstByte(s.job.priority, s.job.clock.Now()-s.job.arrived)
+	}
+	return nil
+}
+
+// goOn continues a stream that its engine has ended: from a copy, or, where
+// the route allows it, after the last event at any target.
+func (s *stream) goOn(cause error) (*exchanger.Answer, *placer.Stay) {
+	s.events.drop()
+	s.mu.Lock()
+	m := s.move
+	s.mu.Unlock()
+	if m != nil {
+		if answer, stay := s.fromCopy(m); answer != nil {
+			return answer, stay
+		}
+	}
+	if !s.job.route.Resumable {
+		return nil, nil
+	}
+	return s.resume(cause)
+}
+
+// fromCopy waits for the last copy and goes on from it.
+func (s *stream) fromCopy(m *move) (*exchanger.Answer, *placer.Stay) {
+	j := s.job
+	select {
+	case <-m.done:
+	case <-time.After(copyWait):
+	case <-j.ctx.Done():
+	}
+	s.mu.Lock()
+	source := s.target
+	s.move = nil
+	s.mu.Unlock()
+	select {
+	case <-m.done:
+	default:
+		j.log.Warn("copy not ready in time", "id", j.request.ID, "source", source.ID)
+		return nil, nil
+	}
+	if m.copied == "" {
+		return nil, nil
+	}
+	if answer := s.sendCopy(m.target, m.copied); answer != nil {
+		return answer, m.stay
+	}
+	j.end(m.stay)
+	if source.ID == m.target.ID {
+		return nil, nil
+	}
+	// The source keeps the memory of what it stopped.
+	return s.sendCopy(source, m.copied), nil
+}
+
+// sendCopy asks a target to go on from a copy; nil if it does not.
+func (s *stream) sendCopy(t *registrar.Target, copied string) *exchanger.Answer {
+	j := s.job
+	o := j.outgoing(t, s.events.lastID, copied)
+	o.Fresh = true
+	o.Permit = func() error { return j.permitCopy(t) }
+	j.budget(1)
+	answer, err := j.Targets.Send(j.ctx, t.Instance, o)
+	if err != nil {
+		j.log.Warn("copy not resumed", "id", j.request.ID, "target", t.ID, "error", err)
+		j.Metrics.Moved("sendFailed")
+		return nil
+	}
+	if status := answer.Response().StatusCode; status != 200 {
+		j.log.Warn("copy not resumed", "id", j.request.ID, "target", t.ID, "status", status)
+		j.Metrics.Moved("refused")
+		answer.Close()
+		return nil
+	}
+	s.mu.Lock()
+	s.target = t
+	s.mu.Unlock()
+	j.Metrics.Moved("resumed")
+	j.log.Info("stream moved", "id", j.request.ID, "target", t.ID, "after", s.events.lastID)
+	if !j.sources.View().Open(t.Instance) {
+		go j.moveOne(s, t)
+	}
+	return answer
+}
+
+// permitCopy lets a generation go on where its copy is, unless that target
+// leaves or is out of service. The source itself may go on while it lives.
+func (j *job) permitCopy(t *registrar.Target) error {
+	if j.sources.View().Open(t.Instance) {
+		return nil
+	}
+	return errClosed
+}
+
+// resume goes on after the last event at another target, as a new run.
+func (s *stream) resume(cause error) (*exchanger.Answer, *placer.Stay) {
+	j := s.job
+	j.excluded[s.target.ID] = true
+	for j.mayRepeat() {
+		t, refusal := j.place()
+		if refusal != nil {
+			j.log.Info("stream not resumed", "id", j.request.ID, "why", refusal.Error())
+			return nil, nil
+		}
+		after := s.events.lastID
+		if after == "" {
+			after = j.request.ResumeAfter
+		}
+		j.mu.Lock()
+		stay := j.ledger.Start(t.ID, j.demand().Tokens, j.request.PromptTokens)
+		j.mu.Unlock()
+		answer, err := j.Targets.Send(j.ctx, t.Instance, j.outgoing(t, after, ""))
+		if err == nil && answer.Response().StatusCode == 200 {
+			j.runs++
+			s.mu.Lock()
+			s.target = t
+			s.mu.Unlock()
+			j.log.Info("stream resumed", "id", j.request.ID, "target", t.ID, "after", after, "cause", cause.Error())
+			return answer, stay
+		}
+		if err == nil {
+			answer.Close()
+		}
+		j.end(stay)
+		j.runs++
+		j.excluded[t.ID] = true
+	}
+	return nil, nil
+}
--- a/version/parser/schema.go
+++ b/version/parser/schema.go
@@ -23,6 +23,7 @@
 	text     kind = "text"
 	name     kind = "name"
 	integer  kind = "whole number"
+	number   kind = "number"
 	boolean  kind = "true or false"
 	duration kind = "duration"
 	address  kind = "address"
@@ -127,7 +128,7 @@
 func (c *collector) walkLiteral(path string, offset int, lit hujson.Literal, s schema) {
 	wanted := hujson.Kind('"')
 	switch s.kind {
-	case integer:
+	case integer, number:
 		wanted = '0'
 	case boolean:
 		wanted = 't'
@@ -143,6 +144,8 @@
 	switch s.kind {
 	case integer:
 		c.checkInteger(path, offset, lit, s)
+	case number:
+		c.checkNumber(path, offset, lit, s)
 	case boolean:
 	case duration:
 		c.checkDuration(path, offset, lit.String(), s)
@@ -162,6 +165,17 @@
 	}
 }
 
+func (c *collector) checkNumber(path string, offset int, lit hujson.Literal, s schema) {
+	f, err := strconv.ParseFloat(string(lit), 64)
+	if err != nil {
+		c.wrongType(path, offset, s)
+		return
+	}
+	if f < float64(s.min) || f > float64(s.max) {
+		c.at(offset, path, bluebelldoor.OutOfRange, "%g is not within %d to %d", f, s.min, s.max)
+	}
+}
+
 func (c *collector) checkDuration(path string, offset int, value string, s schema) {
 	d, err := time.ParseDuration(value)
 	if err != nil {
