Tell peers of each placement at once; one copy at a time into an engine

The log of choices shows two to four VMs choosing the same engine within 150 ms, before the next round told them of each other. Ruled out: cold engines (ages of 2 to 30 s among the late), memory (tokens under half). Cause 2: pauses of 190 to 360 ms around moves. The last copy of one generation queued behind the first copy of another into the same destination; the turns ordered sources only. Ruled out: the source's link (turns were held), resuming (12 to 36 ms). Prompts that wait weigh twice as much in a choice, since an engine with two long prompts waiting was still preferred to a fuller, idle one.

--- a/fleet.go
+++ b/fleet.go
@@ -37,14 +37,16 @@
 	Members []MemberState `cbor:"members"`
 }
 
-// TurnRequest asks for the right to copy from a source.
+// TurnRequest asks for the right to copy over the link of an engine.
 type TurnRequest struct {
 	From   string `cbor:"from"`
-	Source string `cbor:"source"`
+	Engine string `cbor:"engine"`
 	// Request is the generation that is to be copied.
 	Request string `cbor:"request"`
 	// Tokens is its size; the smallest goes first.
 	Tokens int `cbor:"tokens"`
+	// AtOnce asks for the turn only if nobody has or awaits it.
+	AtOnce bool `cbor:"atOnce"`
 	// Release gives the turn back.
 	Release bool `cbor:"release"`
 }
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -89,6 +89,7 @@
 		View:     r.registrar.View,
 		Evidence: r.registrar.Evidence,
 		VMs:      func() int { return len(r.gossiper.Alive()) },
+		Placed:   r.gossiper.Hurry,
 	}, relayer.Parts{
 		Codec:   adapters.Codec,
 		Mover:   adapters.Mover,
--- a/process/turner/turner.go
+++ b/process/turner/turner.go
@@ -32,7 +32,7 @@
 	lines map[string]*line
 }
 
-// line is the queue for one source.
+// line is the queue for one engine.
 type line struct {
 	holder  string
 	until   time.Time
@@ -50,24 +50,37 @@
 	return &Turner{self: self, peers: peers, alive: alive, lines: map[string]*line{}}
 }
 
-// Acquire waits for a turn to copy a generation of tokens off source. The
+// Acquire waits for a turn to copy a generation of tokens off an engine. The
 // returned function gives it back.
-func (t *Turner) Acquire(ctx context.Context, source, request string, tokens int) func() {
-	in := &bluebelldoor.TurnRequest{From: t.self, Source: source, Request: request, Tokens: tokens}
-	address := t.grantor(source)
+func (t *Turner) Acquire(ctx context.Context, engine, request string, tokens int) func() {
+	in := &bluebelldoor.TurnRequest{From: t.self, Engine: engine, Request: request, Tokens: tokens}
+	address := t.grantor(engine)
 	t.ask(ctx, address, in)
-	return func() {
-		out := *in
-		out.Release = true
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		t.ask(ctx, address, &out)
+	return func() { t.giveBack(address, in) }
+}
+
+// TryAcquire asks for a turn to copy into an engine. It returns false where
+// another copy has it.
+func (t *Turner) TryAcquire(ctx context.Context, engine, request string) (func(), bool) {
+	in := &bluebelldoor.TurnRequest{From: t.self, Engine: "into/" + engine, Request: request, AtOnce: true}
+	address := t.grantor(in.Engine)
+	if reply, answered := t.ask(ctx, address, in); answered && !reply.Granted {
+		return nil, false
 	}
+	return func() { t.giveBack(address, in) }, true
+}
+
+func (t *Turner) giveBack(address string, in *bluebelldoor.TurnRequest) {
+	out := *in
+	out.Release = true
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	t.ask(ctx, address, &out)
 }
 
-// grantor returns the peer address of the VM that grants turns for source, ""
-// for this VM.
-func (t *Turner) grantor(source string) string {
+// grantor returns the peer address of the VM that grants turns for an engine,
+// "" for this VM.
+func (t *Turner) grantor(engine string) string {
 	var names []string
 	addresses := map[string]string{}
 	for _, m := range t.alive() {
@@ -76,69 +89,80 @@
 			addresses[m.Name] = m.PeerAddress
 		}
 	}
-	first := ranker.First("turn/"+source, names)
+	first := ranker.First("turn/"+engine, names)
 	if first == "" || first == t.self {
 		return ""
 	}
 	return addresses[first]
 }
 
-func (t *Turner) ask(ctx context.Context, address string, in *bluebelldoor.TurnRequest) {
+// ask reports whether the grantor has answered. Without an answer the copy goes
+// ahead: turns save time, not safety.
+func (t *Turner) ask(ctx context.Context, address string, in *bluebelldoor.TurnRequest) (*bluebelldoor.TurnReply, bool) {
 	if address == "" {
-		t.Turn(ctx, in)
-		return
+		return t.Turn(ctx, in), true
 	}
 	ctx, cancel := context.WithTimeout(ctx, waitMost)
 	defer cancel()
-	// Without an answer the copy goes ahead: turns save time, not safety.
-	_, _ = t.peers.Turn(ctx, address, in)
+	reply, err := t.peers.Turn(ctx, address, in)
+	return reply, err == nil
 }
 
-// Turn grants or takes back a turn; it waits until the turn has come.
+// Turn grants or takes back a turn; unless it is asked for at once, it waits
+// until the turn has come.
 func (t *Turner) Turn(ctx context.Context, in *bluebelldoor.TurnRequest) *bluebelldoor.TurnReply {
 	if in.Release {
 		t.release(in)
 		return &bluebelldoor.TurnReply{}
 	}
 	w := t.join(in)
+	if w == nil {
+		return &bluebelldoor.TurnReply{}
+	}
 	timer := time.NewTimer(waitMost)
 	defer timer.Stop()
+	recheck := time.NewTicker(lease / 4)
+	defer recheck.Stop()
 	for {
 		select {
 		case <-w.granted:
 			return &bluebelldoor.TurnReply{Granted: true}
 		case <-ctx.Done():
-			t.leave(in.Source, w)
+			t.leave(in.Engine, w)
 			return &bluebelldoor.TurnReply{}
 		case <-timer.C:
-			t.leave(in.Source, w)
+			t.leave(in.Engine, w)
 			return &bluebelldoor.TurnReply{}
-		case <-time.After(lease / 4):
+		case <-recheck.C:
 			t.mu.Lock()
-			t.advance(in.Source)
+			t.advance(in.Engine)
 			t.mu.Unlock()
 		}
 	}
 }
 
+// join queues for a turn; nil if it is wanted at once and taken.
 func (t *Turner) join(in *bluebelldoor.TurnRequest) *waiter {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := t.lines[in.Source]
+	l := t.lines[in.Engine]
+	if in.AtOnce && l != nil && (len(l.waiting) > 0 || l.holder != "" && time.Now().Before(l.until)) {
+		return nil
+	}
 	if l == nil {
 		l = &line{}
-		t.lines[in.Source] = l
+		t.lines[in.Engine] = l
 	}
 	w := &waiter{request: in.Request, tokens: in.Tokens, granted: make(chan struct{})}
 	l.waiting = append(l.waiting, w)
-	t.advance(in.Source)
+	t.advance(in.Engine)
 	return w
 }
 
-func (t *Turner) leave(source string, w *waiter) {
+func (t *Turner) leave(engine string, w *waiter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := t.lines[source]
+	l := t.lines[engine]
 	if l == nil {
 		return
 	}
@@ -151,27 +175,27 @@
 	if l.holder == w.request {
 		l.holder = ""
 	}
-	t.advance(source)
+	t.advance(engine)
 }
 
 func (t *Turner) release(in *bluebelldoor.TurnRequest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if l := t.lines[in.Source]; l != nil && l.holder == in.Request {
+	if l := t.lines[in.Engine]; l != nil && l.holder == in.Request {
 		l.holder = ""
-		t.advance(in.Source)
+		t.advance(in.Engine)
 	}
 }
 
 // advance grants the next turn: the smallest copy first, which saves the most
 // generations in the time that is left. A mutex is held.
-func (t *Turner) advance(source string) {
-	l := t.lines[source]
+func (t *Turner) advance(engine string) {
+	l := t.lines[engine]
 	if l == nil || l.holder != "" && time.Now().Before(l.until) {
 		return
 	}
 	if len(l.waiting) == 0 {
-		delete(t.lines, source)
+		delete(t.lines, engine)
 		return
 	}
 	next := 0
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -12,8 +12,8 @@
 // full; the lowest cost is chosen.
 const (
 	// prefillUnit is how many tokens of prompts before a new one weigh a unit:
-	// engines read about that many in half a second.
-	prefillUnit = 7000
+	// engines read about that many in a quarter of a second.
+	prefillUnit = 3500
 	// awayCost weighs a target in another data centre.
 	awayCost = 0.03
 	// coldCost weighs a target that is still cold.
@@ -56,6 +56,10 @@
 	Cost  float64
 	// Full tells that the chosen candidate has no place or memory left.
 	Full bool
+	// Requests, Tokens and Prefill are what it is thought to have.
+	Requests, Tokens, Prefill int
+	// Failures is its share of failed answers.
+	Failures float64
 }
 
 // Pick chooses the candidate with the lowest cost at now. random returns
@@ -71,7 +75,11 @@
 		cost, full := l.cost(c, d, usual)
 		cost += jitter * random()
 		if cost < best.Cost {
-			best = Choice{Index: i, Cost: cost, Full: full}
+			sum := l.sums[c.Instance.ID]
+			best = Choice{
+				Index: i, Cost: cost, Full: full,
+				Requests: sum.requests, Tokens: sum.tokens, Prefill: sum.prefill, Failures: l.failures[c.Instance.ID],
+			}
 		}
 	}
 	return best
--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -72,13 +73,15 @@
 		if !s.at(t) || j.ctx.Err() != nil {
 			return
 		}
-		destination, stay := j.destination(t, tried, tokens)
+		destination, stay, giveBack := j.freeDestination(t, tried, tokens)
 		if destination == nil {
 			j.Metrics.Moved("noRoom")
 			j.log.Warn("no engine can take a generation", "id", j.request.ID, "source", t.ID, "tokens", tokens)
 			return
 		}
-		if j.copyTo(s, t, destination, stay) {
+		done := j.copyTo(s, t, destination, stay)
+		giveBack()
+		if done {
 			return
 		}
 		j.end(stay)
@@ -99,6 +102,26 @@
 	return false
 }
 
+// freeDestination chooses an engine for a copy that no other copy goes to: the
+// last copy of one generation would wait for the first copy of the other. Where
+// all are taken, the best of them is.
+func (j *job) freeDestination(source *registrar.Target, tried map[string]bool, tokens int) (*registrar.Target, *placer.Stay, func()) {
+	passed := maps.Clone(tried)
+	for range moveTries {
+		destination, stay := j.destination(source, passed, tokens)
+		if destination == nil {
+			break
+		}
+		if giveBack, free := j.Turns.TryAcquire(j.ctx, destination.ID, j.request.ID); free {
+			return destination, stay, giveBack
+		}
+		j.end(stay)
+		passed[destination.ID] = true
+	}
+	destination, stay := j.destination(source, tried, tokens)
+	return destination, stay, func() {}
+}
+
 // destination chooses an engine for a copy, near the source: copies between
 // data centres take twice as long.
 func (j *job) destination(source *registrar.Target, tried map[string]bool, tokens int) (*registrar.Target, *placer.Stay) {
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -52,6 +53,9 @@
 	Evidence func() (time.Duration, bool)
 	// VMs returns how many VMs may be sending, alive or only just silent.
 	VMs func() int
+	// Placed is called when a generation has been given a target: peers that
+	// do not hear of it at once choose the same.
+	Placed func()
 }
 
 // Parts are the parts that the relayer works with.
@@ -335,9 +339,16 @@
 	if choice.Index < 0 {
 		return nil, bluebelldoor.Refuse(bluebelldoor.ColdTargets, "all targets are cold and have what they bear").WithRetryAfter(comeBack)
 	}
-	return targets[choice.Index], nil
+	t := targets[choice.Index]
+	j.log.Info("target chosen", "id", j.request.ID, "target", t.ID, "dataCentre", t.DataCentre, "of", len(targets),
+		"cost", round(choice.Cost), "requests", choice.Requests, "tokens", choice.Tokens, "prefill", choice.Prefill,
+		"failures", round(choice.Failures), "coldMs", max(0, t.ColdUntil-now).Milliseconds(), "full", choice.Full)
+	return t, nil
 }
 
+// round keeps three decimals, for log lines.
+func round(f float64) float64 { return math.Round(f*1000) / 1000 }
+
 func (j *job) candidates(now time.Duration) ([]*registrar.Target, []placer.Candidate) {
 	view := j.sources.View()
 	var targets []*registrar.Target
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -29,6 +29,11 @@
 	made   int // events passed on
 	move   *move
 	ended  bool
+
+	// first, last and pause belong to the goroutine that passes events on:
+	// when the first and the last event left, and the longest time between.
+	first, last, pause time.Duration
+	pauseAfter         string
 }
 
 // move is a last copy under way: the engine ends the stream, which goes on
@@ -84,7 +89,7 @@
 	for {
 		err := s.pump(answer, stay)
 		if err == nil {
-			j.note("answered", bluebelldoor.OK, "", "target", s.target.ID, "events", s.made, "moves", moves)
+			j.note("answered", bluebelldoor.OK, "", append(s.times(), "moves", moves)...)
 			return
 		}
 		answer.Close()
@@ -121,7 +126,7 @@
 	case j.ctx.Err() != nil:
 		code = bluebelldoor.CallerGone
 	}
-	j.note("broken off", code, detail, "target", s.target.ID, "events", s.made, "lastEvent", s.events.lastID)
+	j.note("broken off", code, detail, s.times()...)
 	j.call.Abort()
 }
 
@@ -150,6 +155,27 @@
 	}
 }
 
+// clocked notes the time of an event.
+func (s *stream) clocked() {
+	now := s.job.clock.Now()
+	if s.first == 0 {
+		s.first = now
+	} else if now-s.last > s.pause {
+		s.pause, s.pauseAfter = now-s.last, s.events.lastID
+	}
+	s.last = now
+}
+
+// times returns the fields of a log line on the stream's pace.
+func (s *stream) times() []any {
+	first := time.Duration(0)
+	if s.first > 0 {
+		first = s.first - s.job.arrived
+	}
+	return []any{"target", s.target.ID, "events", s.made, "lastEvent", s.events.lastID,
+		"firstMs", first.Milliseconds(), "longestPauseMs", s.pause.Milliseconds(), "pauseBefore", s.pauseAfter}
+}
+
 func (s *stream) pass(part []byte, stay *placer.Stay) error {
 	whole := s.events.add(part)
 	if len(whole) == 0 {
@@ -158,6 +184,7 @@
 	if err := s.job.call.Write(whole); err != nil {
 		return err
 	}
+	s.clocked()
 	first := s.made == 0
 	s.mu.Lock()
 	s.made = s.events.count
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -28,6 +28,9 @@
 	stay := j.ledger.Start(t.ID, j.demand().Tokens, j.request.PromptTokens)
 	j.mu.Unlock()
 	defer j.end(stay)
+	if j.route.Generates {
+		j.sources.Placed()
+	}
 	answer, err := j.Targets.Send(j.ctx, t.Instance, j.outgoing(t, j.request.ResumeAfter, ""))
 	if err != nil {
 		return j.sendFailed(t, err)
