Share between peers what the platform says; ask engines while it is silent

Ruled out: the turns and copies, which took their usual 0.2 to 0.4 s where the notice was heard.

Peers exchange the store's entries by revision; an answer to a question is evidence, counted from the asking, what is sent unasked is not. Two VMs read for all, others when their evidence is 1.3 s old.

--- a/cmd/bluebelldoor/relay.go
+++ b/cmd/bluebelldoor/relay.go
@@ -98,6 +98,7 @@
 		Codec:          platform.Codec{},
 		Catalogue:      store,
 		Mover:          engines,
+		Reporter:       engines,
 		Clock:          clock,
 		ServeReady:     platform.ServeReady,
 		ServeDirectory: platform.ServeDirectory,
--- a/fleet.go
+++ b/fleet.go
@@ -17,8 +17,8 @@
 	Leaving       bool   `cbor:"leaving"`
 	// Loads is what the VM has on the targets.
 	Loads []TargetLoad `cbor:"loads,omitempty"`
-	// RetryNeed is the VM's requests of the last budget window by service.
-	Requests map[string]int `cbor:"requests,omitempty"`
+	// Revision is that of the platform's entries that the VM holds.
+	Revision uint64 `cbor:"revision"`
 }
 
 // TargetLoad is what one VM has on one target.
@@ -31,10 +31,23 @@
 	Prefill int `cbor:"prefill"`
 }
 
-// ExchangeMessage carries the states of members, both ways.
+// RecordNews is what a VM holds of the platform's entries beyond what a peer
+// holds.
+type RecordNews struct {
+	// Base is the revision that Records follow, 0 if they are all there are.
+	Base     uint64  `cbor:"base"`
+	Revision uint64  `cbor:"revision"`
+	Records  []Record `cbor:"records,omitempty"`
+	// EvidenceAgeMs is how old the proof is, when the message leaves, that
+	// Revision was the platform's newest; below 0 there is none.
+	EvidenceAgeMs int64 `cbor:"evidenceAgeMs"`
+}
+
+// ExchangeMessage carries the states of members and news of entries, both ways.
 type ExchangeMessage struct {
 	From    string        `cbor:"from"`
 	Members []MemberState `cbor:"members"`
+	News    RecordNews     `cbor:"news"`
 }
 
 // TurnRequest asks for the right to copy over the link of an engine.
--- a/process/gossiper/table.go
+++ b/process/gossiper/table.go
@@ -13,9 +13,9 @@
 	// that was news: several rounds, and well under the time after which the
 	// directory must not name the dead.
 	aliveFor = 2500 * time.Millisecond
-	// forgetAfter is how long a dead member is kept, so that old news of it
-	// does not bring it back.
-	forgetAfter = 30 * time.Second
+	// forgetAfter is how long a dead member is kept: old news of it must not
+	// bring it back, and its share of what all VMs may send stays its own.
+	forgetAfter = time.Minute
 )
 
 // member is what is known of a VM.
@@ -73,7 +73,7 @@
 	if known == nil {
 		if !direct {
 			// Loads are told by their owner only.
-			s.Loads, s.Requests = nil, nil
+			s.Loads = nil
 		}
 		t.members[s.Name] = &member{state: s, heard: now}
 		return true
@@ -84,7 +84,7 @@
 		return false
 	}
 	if !direct {
-		s.Loads, s.Requests = known.state.Loads, known.state.Requests
+		s.Loads = known.state.Loads
 	}
 	known.state, known.heard = s, now
 	return true
@@ -99,13 +99,17 @@
 			delete(t.members, name)
 		case silent <= aliveFor:
 			s := m.state
-			s.Loads, s.Requests = nil, nil
+			s.Loads = nil
 			out = append(out, s)
 		}
 	}
 	return out
 }
 
+// Known returns how many members are known, alive or silent, the VM itself
+// included.
+func (t *Table) Known() int { return len(t.members) + 1 }
+
 // Alive returns the members that are alive, the VM itself included, by name.
 func (t *Table) Alive(now time.Duration) []bluebelldoor.MemberState {
 	out := []bluebelldoor.MemberState{t.self}
--- /dev/null
+++ b/process/registrar/book.go
@@ -0,0 +1,237 @@
+package registrar
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bluebelldoor"
+)
+
+// maxRemoved bounds the removals that are kept to tell peers of; a peer that
+// lacks more is sent everything.
+const maxRemoved = 512
+
+// notice is a target that takes no new work any more.
+type notice struct {
+	target *Target
+	why    string
+}
+
+// book holds the platform's entries and what they say. It belongs to one
+// goroutine.
+type book struct {
+	decode func(bluebelldoor.Record) bluebelldoor.Change
+	log    hclog.Logger
+
+	revision uint64
+	entries  map[string]bluebelldoor.Record
+	removed  []bluebelldoor.Record
+	// forgotten is the newest revision of a removal that is no longer kept.
+	forgotten uint64
+
+	routing *bluebelldoor.Routing
+	targets map[string]*Target
+	out     map[string]string
+	pending []notice
+
+	answered time.Duration
+	lapsing  time.Duration
+}
+
+func newBook(decode func(bluebelldoor.Record) bluebelldoor.Change, log hclog.Logger) *book {
+	return &book{
+		decode:  decode,
+		log:     log,
+		entries: map[string]bluebelldoor.Record{},
+		targets: map[string]*Target{},
+		out:     map[string]string{},
+	}
+}
+
+// notices returns the targets that have stopped taking work since the last
+// call.
+func (b *book) notices() []notice {
+	out := b.pending
+	b.pending = nil
+	return out
+}
+
+func (b *book) notify(t *Target, why string) { b.pending = append(b.pending, notice{t, why}) }
+
+// apply takes an answer into force and reports whether the view changes.
+func (b *book) apply(p bluebelldoor.Published, now time.Duration) bool {
+	if b.answered > 0 && now-b.answered > outageAfter {
+		b.lapsing = now + lapseFor
+		b.log.Info("platform was silent", "forMs", (now - b.answered).Milliseconds(), "lapsedUntilMs", lapseFor.Milliseconds())
+	}
+	b.answered = now
+	changed := b.expire(now)
+	present := map[string]bool{}
+	for _, e := range p.Records {
+		present[e.Key] = true
+		changed = b.take(e, now) || changed
+	}
+	if p.Whole {
+		for key, held := range b.entries {
+			if !present[key] && held.Revision <= p.Revision {
+				changed = b.take(bluebelldoor.Record{Key: key, Revision: p.Revision, Gone: true}, now) || changed
+			}
+		}
+	}
+	b.revision = max(b.revision, p.Revision)
+	return changed
+}
+
+// take applies one entry unless a newer state of it is held.
+func (b *book) take(e bluebelldoor.Record, now time.Duration) bool {
+	if held, ok := b.entries[e.Key]; ok && held.Revision >= e.Revision {
+		return false
+	}
+	if e.Gone {
+		delete(b.entries, e.Key)
+		b.remember(e)
+	} else {
+		b.entries[e.Key] = e
+	}
+	return b.change(e.Key, b.decode(e), now)
+}
+
+func (b *book) remember(e bluebelldoor.Record) {
+	b.removed = append(b.removed, bluebelldoor.Record{Key: e.Key, Revision: e.Revision, Gone: true})
+	if len(b.removed) > maxRemoved {
+		b.forgotten = max(b.forgotten, b.removed[0].Revision)
+		b.removed = b.removed[1:]
+	}
+}
+
+// since returns the entries after a revision, or all.
+func (b *book) since(after uint64) bluebelldoor.RecordNews {
+	news := bluebelldoor.RecordNews{Base: after, Revision: b.revision}
+	if after < b.forgotten {
+		news.Base = 0
+	}
+	for _, e := range b.entries {
+		if e.Revision > news.Base {
+			news.Records = append(news.Records, e)
+		}
+	}
+	if news.Base == 0 {
+		return news
+	}
+	for _, e := range b.removed {
+		if e.Revision > news.Base {
+			news.Records = append(news.Records, e)
+		}
+	}
+	return news
+}
+
+// change applies what an entry says and reports whether the view changes.
+func (b *book) change(key string, c bluebelldoor.Change, now time.Duration) bool {
+	switch {
+	case c.Err != nil:
+		b.log.Warn("entry can't be read", "key", key, "error", c.Err)
+		return b.remove(key, now, false)
+	case c.Routing != nil:
+		return b.adopt(c.Routing)
+	case c.DataCentre != "" && c.Gone:
+		b.log.Info("data centre back in service", "dataCentre", c.DataCentre)
+		delete(b.out, key)
+		return true
+	case c.DataCentre != "":
+		b.log.Info("data centre out of service", "dataCentre", c.DataCentre)
+		b.out[key] = c.DataCentre
+		return true
+	case c.Instance != nil:
+		return b.register(key, c.Instance, now)
+	case c.Gone:
+		return b.remove(key, now, true)
+	}
+	return false
+}
+
+// adopt takes routing into force if its version is higher.
+func (b *book) adopt(routing *bluebelldoor.Routing) bool {
+	if b.routing != nil && routing.Version() <= b.routing.Version() {
+		return false
+	}
+	b.log.Info("routing in force", "version", routing.Version())
+	b.routing = routing
+	return true
+}
+
+func (b *book) register(key string, i *bluebelldoor.Instance, now time.Duration) bool {
+	t := &Target{Instance: i, ColdUntil: now + i.ColdFor}
+	before := b.targets[key]
+	same := before != nil && before.Born == i.Born && before.Address == i.Address
+	if same && before.Leaving {
+		// A target that has said that it leaves stays out.
+		leaving := *i
+		leaving.Leaving = true
+		t.Instance = &leaving
+	}
+	b.targets[key] = t
+	switch {
+	case !same:
+		if before != nil && !before.Leaving {
+			b.notify(before, "restarted")
+		}
+		b.log.Info("target registered", "target", i.ID, "service", i.Service, "dataCentre", i.DataCentre, "coldMs", i.ColdFor.Milliseconds(), "leaving", i.Leaving)
+	case i.Leaving && !before.Leaving:
+		b.notify(t, "leaving")
+	}
+	return true
+}
+
+// leaves takes a target's own word that it leaves.
+func (b *book) leaves(i *bluebelldoor.Instance) bool {
+	for key, t := range b.targets {
+		if t.ID != i.ID || t.Born != i.Born || t.Leaving {
+			continue
+		}
+		leaving := *t.Instance
+		leaving.Leaving = true
+		b.targets[key] = &Target{Instance: &leaving, ColdUntil: t.ColdUntil, Lapsed: t.Lapsed}
+		b.notify(b.targets[key], "says that it leaves")
+		return true
+	}
+	return false
+}
+
+// remove drops a target. One whose entry has gone in an outage is kept for a
+// while, for it may be back.
+func (b *book) remove(key string, now time.Duration, mayReturn bool) bool {
+	t := b.targets[key]
+	if t == nil {
+		return false
+	}
+	if mayReturn && now < b.lapsing && !t.Leaving {
+		lapsed := *t
+		lapsed.Lapsed = true
+		b.targets[key] = &lapsed
+		return true
+	}
+	delete(b.targets, key)
+	if !t.Leaving {
+		b.notify(t, "gone")
+	}
+	return true
+}
+
+// expire drops targets whose entries have gone in an outage and did not come
+// back.
+func (b *book) expire(now time.Duration) bool {
+	if now < b.lapsing {
+		return false
+	}
+	changed := false
+	for key, t := range b.targets {
+		if t.Lapsed {
+			delete(b.targets, key)
+			b.notify(t, "did not come back")
+			changed = true
+		}
+	}
+	return changed
+}
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -17,16 +17,24 @@
 	// watchWait is how long a watch may stay without an answer. Only answers
 	// are evidence of what is in force, and keys need evidence that is a few
 	// seconds old at most.
-	watchWait = 1200 * time.Millisecond
+	watchWait = 700 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed read.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
+	// staleAfter is the age of the evidence at which a VM that leaves reading
+	// to its peers reads for itself: a watch, a round between peers, and slack.
+	staleAfter = 1300 * time.Millisecond
+	// lookAgain is how often a VM that leaves reading to its peers looks at the
+	// age of its evidence.
+	lookAgain = 100 * time.Millisecond
 	// outageAfter is the silence of the platform after which entries that have
 	// gone may be back: targets renew them about every second.
 	outageAfter = 2500 * time.Millisecond
 	// lapseFor is how long after an outage missing entries may come back; the
 	// platform's pages say about two seconds.
 	lapseFor = 2500 * time.Millisecond
+	// tick is how often the control goroutine looks at what has run out.
+	tick = 200 * time.Millisecond
 )
 
 // Observer is told of targets that take no new work any more. It is called by
@@ -38,29 +46,30 @@
 	catalogue bluebelldoor.Catalogue
 	clock     bluebelldoor.Clock
 	log       hclog.Logger
-	view      atomic.Pointer[View]
-	evidence  atomic.Int64
+	reads     func() bool
 	observers []Observer
+	changed   func()
 
-	// The fields below belong to the control goroutine.
-	routing   *bluebelldoor.Routing
-	entries   map[string]*Target
-	out       map[string]string
-	revision  uint64
-	answered  time.Duration
-	lapsing   time.Duration
-	connected bool
+	view     atomic.Pointer[View]
+	evidence atomic.Int64
+	revision atomic.Uint64
+	updates  chan func()
+	book     *book
 }
 
-// New returns a registrar that has read nothing yet.
-func New(catalogue bluebelldoor.Catalogue, clock bluebelldoor.Clock, log hclog.Logger) *Registrar {
+// New returns a registrar that has read nothing yet. reads tells whether this
+// VM reads the platform on behalf of others; changed is called when there is
+// news for peers.
+func New(catalogue bluebelldoor.Catalogue, clock bluebelldoor.Clock, reads func() bool, changed func(), log hclog.Logger) *Registrar {
 	r := &Registrar{
 		catalogue: catalogue,
 		clock:     clock,
 		log:       log,
-		entries:   map[string]*Target{},
-		out:       map[string]string{},
+		reads:     reads,
+		changed:   changed,
+		updates:   make(chan func()),
 	}
+	r.book = newBook(catalogue.Decode, log)
 	r.view.Store(&View{})
 	r.evidence.Store(-1)
 	return r
@@ -72,6 +81,9 @@
 // View returns what is in force.
 func (r *Registrar) View() *View { return r.view.Load() }
 
+// Revision returns the revision of the platform's entries that the VM holds.
+func (r *Registrar) Revision() uint64 { return r.revision.Load() }
+
 // Evidence returns how old the newest proof is that the view was what the
 // platform held, and false if there never was one. The age counts from the
 // moment of asking.
@@ -83,215 +95,192 @@
 	return r.clock.Now() - time.Duration(at), true
 }
 
+// prove notes that what is held was the platform's newest at a time.
+func (r *Registrar) prove(at time.Duration) {
+	if int64(at) > r.evidence.Load() {
+		r.evidence.Store(int64(at))
+	}
+}
+
 // Start reads the platform until the clean-up function is called.
 func (r *Registrar) Start() func() {
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
+	done := make(chan struct{}, 2)
 	go func() {
-		defer close(done)
-		r.run(ctx)
+		r.control(ctx)
+		done <- struct{}{}
+	}()
+	go func() {
+		r.read(ctx)
+		done <- struct{}{}
 	}()
 	return func() {
 		cancel()
 		<-done
+		<-done
 	}
 }
 
-func (r *Registrar) run(ctx context.Context) {
-	pause := retryFirst
-	for ctx.Err() == nil {
-		asked := r.clock.Now()
-		published, err := r.ask(ctx)
-		if err == nil {
-			r.regained()
-			r.Apply(published, asked)
-			pause = retryFirst
-			continue
-		}
-		if errors.Is(err, bluebelldoor.ErrHistoryLost) {
-			r.log.Info("history lost, reading all", "revision", r.revision)
-			r.revision = 0
-			continue
-		}
-		r.lost(err)
+// control owns the book.
+func (r *Registrar) control(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+			return
+		case update := <-r.updates:
+			update()
+		case <-ticker.C:
+			r.publish(r.book.expire(r.clock.Now()))
 		}
-		pause = min(2*pause, retryMost)
 	}
 }
 
-func (r *Registrar) ask(ctx context.Context) (bluebelldoor.Published, error) {
-	if r.revision == 0 {
-		return r.catalogue.Read(ctx)
-	}
-	return r.catalogue.Watch(ctx, r.revision, watchWait)
-}
-
-func (r *Registrar) lost(err error) {
-	if r.connected {
-		age, _ := r.Evidence()
-		r.log.Warn("platform lost", "error", err, "ageMs", age.Milliseconds(), "revision", r.revision)
+// do runs f on the control goroutine and waits for it.
+func (r *Registrar) do(ctx context.Context, f func()) {
+	done := make(chan struct{})
+	select {
+	case r.updates <- func() { f(); close(done) }:
+		<-done
+	case <-ctx.Done():
 	}
-	r.connected = false
 }
 
-func (r *Registrar) regained() {
-	if !r.connected {
-		r.log.Info("platform answers", "revision", r.revision)
+// read asks the platform, for as long as this VM reads for others or hears too
+// little from them.
+func (r *Registrar) read(ctx context.Context) {
+	pause := retryFirst
+	connected := false
+	history := true
+	for ctx.Err() == nil {
+		if age, proved := r.Evidence(); proved && age < staleAfter && !r.reads() {
+			sleep(ctx, lookAgain)
+			continue
+		}
+		asked := r.clock.Now()
+		published, err := r.ask(ctx, history)
+		switch {
+		case err == nil:
+			if !connected {
+				r.log.Info("platform answers", "revision", published.Revision)
+			}
+			connected, history, pause = true, true, retryFirst
+			r.do(ctx, func() { r.fromPlatform(published, asked) })
+			continue
+		case errors.Is(err, bluebelldoor.ErrHistoryLost):
+			r.log.Info("history lost, reading all", "revision", r.Revision())
+			history = false
+			continue
+		case connected:
+			age, _ := r.Evidence()
+			r.log.Warn("platform lost", "error", err, "ageMs", age.Milliseconds(), "revision", r.Revision())
+			connected = false
+		}
+		sleep(ctx, pause)
+		pause = min(2*pause, retryMost)
 	}
-	r.connected = true
 }
 
-// Apply takes an answer of the platform, asked at asked, into force.
-func (r *Registrar) Apply(p bluebelldoor.Published, asked time.Duration) {
-	now := r.clock.Now()
-	if r.answered > 0 && now-r.answered > outageAfter {
-		r.lapsing = now + lapseFor
-	}
-	r.answered = now
-	changed := r.expire(now)
-	kept := map[string]bool{}
-	for _, c := range p.Changes {
-		kept[c.Key] = true
-		changed = r.change(c, now) || changed
-	}
-	if p.Whole {
-		changed = r.dropMissing(kept, now) || changed
-	}
-	r.revision = p.Revision
-	if changed {
-		r.publish()
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
-	r.evidence.Store(int64(asked))
 }
 
-// change applies one entry and reports whether the view changes.
-func (r *Registrar) change(c bluebelldoor.Change, now time.Duration) bool {
-	switch {
-	case c.Err != nil:
-		r.log.Warn("entry can't be read", "key", c.Key, "error", c.Err)
-		return r.remove(c.Key, now, false)
-	case c.Routing != nil:
-		return r.adopt(c.Routing)
-	case c.DataCentre != "" && c.Gone:
-		r.log.Info("data centre back in service", "dataCentre", c.DataCentre)
-		delete(r.out, c.Key)
-		return true
-	case c.DataCentre != "":
-		r.log.Info("data centre out of service", "dataCentre", c.DataCentre)
-		r.out[c.Key] = c.DataCentre
-		return true
-	case c.Instance != nil:
-		return r.register(c.Key, c.Instance, now)
-	case c.Gone:
-		return r.remove(c.Key, now, true)
+func (r *Registrar) ask(ctx context.Context, history bool) (bluebelldoor.Published, error) {
+	if revision := r.Revision(); revision > 0 && history {
+		return r.catalogue.Watch(ctx, revision, watchWait)
 	}
-	return false
+	return r.catalogue.Read(ctx)
 }
 
-// adopt takes routing into force if its version is higher.
-func (r *Registrar) adopt(routing *bluebelldoor.Routing) bool {
-	if r.routing != nil && routing.Version() <= r.routing.Version() {
-		return false
+func (r *Registrar) fromPlatform(p bluebelldoor.Published, asked time.Duration) {
+	before := r.book.revision
+	changed := r.book.apply(p, r.clock.Now())
+	r.publish(changed)
+	if p.Revision >= r.book.revision {
+		r.prove(asked)
 	}
-	r.log.Info("routing in force", "version", routing.Version())
-	r.routing = routing
-	return true
-}
-
-func (r *Registrar) register(key string, i *bluebelldoor.Instance, now time.Duration) bool {
-	t := &Target{Instance: i, ColdUntil: now + i.ColdFor}
-	before := r.entries[key]
-	r.entries[key] = t
-	switch {
-	case before == nil || before.Born != i.Born || before.Address != i.Address:
-		if before != nil && !before.Leaving {
-			r.tell(before, "restarted")
-		}
-		r.log.Info("target registered", "target", i.ID, "service", i.Service, "dataCentre", i.DataCentre, "coldMs", i.ColdFor.Milliseconds(), "leaving", i.Leaving)
-	case i.Leaving && !before.Leaving:
-		r.tell(t, "leaving")
+	if r.book.revision > before {
+		r.changed()
 	}
-	return true
 }
 
-// remove drops an entry. One that has gone in an outage is kept for a while,
-// for it may be back.
-func (r *Registrar) remove(key string, now time.Duration, mayReturn bool) bool {
-	t := r.entries[key]
-	if t == nil {
-		return false
+// News returns what a peer that holds a revision lacks.
+func (r *Registrar) News(ctx context.Context, after uint64) bluebelldoor.RecordNews {
+	var out bluebelldoor.RecordNews
+	if after == r.Revision() {
+		out = bluebelldoor.RecordNews{Base: after, Revision: after}
+	} else {
+		r.do(ctx, func() { out = r.book.since(after) })
 	}
-	if mayReturn && now < r.lapsing && !t.Leaving {
-		lapsed := *t
-		lapsed.Lapsed = true
-		r.entries[key] = &lapsed
-		return true
+	out.EvidenceAgeMs = -1
+	if age, proved := r.Evidence(); proved {
+		out.EvidenceAgeMs = age.Milliseconds() + 1
 	}
-	delete(r.entries, key)
-	if !t.Leaving {
-		r.tell(t, "gone")
-	}
-	return true
+	return out
 }
 
-func (r *Registrar) dropMissing(kept map[string]bool, now time.Duration) bool {
-	changed := false
-	for key := range r.entries {
-		if !kept[key] {
-			changed = r.remove(key, now, true) || changed
-		}
+// Hear takes news from a peer. Only an answer to a question that was asked at
+// a known time is evidence: what a peer sends unasked may have been long on
+// its way.
+func (r *Registrar) Hear(ctx context.Context, news bluebelldoor.RecordNews, asked time.Duration, answer bool) {
+	if news.Revision > r.Revision() {
+		r.do(ctx, func() {
+			if news.Base > r.book.revision {
+				return
+			}
+			r.publish(r.book.apply(bluebelldoor.Published{
+				Revision: news.Revision,
+				Whole:    news.Base == 0,
+				Records:  news.Records,
+			}, r.clock.Now()))
+		})
 	}
-	for key := range r.out {
-		if !kept[key] {
-			delete(r.out, key)
-			changed = true
-		}
+	if answer && news.EvidenceAgeMs >= 0 && news.Revision == r.Revision() {
+		r.prove(asked - time.Duration(news.EvidenceAgeMs)*time.Millisecond)
 	}
-	return changed
 }
 
-// expire drops entries that have gone in an outage and did not come back.
-func (r *Registrar) expire(now time.Duration) bool {
-	if now < r.lapsing {
-		return false
-	}
-	changed := false
-	for key, t := range r.entries {
-		if t.Lapsed {
-			delete(r.entries, key)
-			r.tell(t, "did not come back")
-			changed = true
-		}
-	}
-	return changed
+// Leaves notes that a target itself says that it leaves.
+func (r *Registrar) Leaves(ctx context.Context, t *bluebelldoor.Instance) {
+	r.do(ctx, func() { r.publish(r.book.leaves(t)) })
 }
 
 func (r *Registrar) tell(t *Target, why string) {
-	r.log.Info("target takes no new work", "target", t.ID, "why", why)
+	age, _ := r.Evidence()
+	r.log.Info("target takes no new work", "target", t.ID, "why", why, "viewAgeMs", age.Milliseconds())
 	for _, o := range r.observers {
 		o(t)
 	}
 }
 
-func (r *Registrar) publish() {
+func (r *Registrar) publish(changed bool) {
+	r.revision.Store(r.book.revision)
+	if !changed {
+		return
+	}
+	b := r.book
 	v := &View{
-		routing:  r.routing,
+		routing:  b.routing,
 		services: map[string][]*Target{},
 		targets:  map[string]*Target{},
 		out:      map[string]bool{},
 	}
-	for _, t := range r.entries {
+	for _, t := range b.targets {
 		v.services[t.Service] = append(v.services[t.Service], t)
 		v.targets[t.ID] = t
 	}
 	for _, targets := range v.services {
 		slices.SortFunc(targets, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
 	}
-	for _, dataCentre := range r.out {
+	for _, dataCentre := range b.out {
 		v.out[dataCentre] = true
 	}
 	r.view.Store(v)
+	for _, notice := range b.notices() {
+		r.tell(notice.target, notice.why)
+	}
 }
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -14,6 +16,8 @@
 	"bluebelldoor/connection/messenger"
 	"bluebelldoor/process/budgeter"
 	"bluebelldoor/process/gossiper"
+	"bluebelldoor/process/prober"
+	"bluebelldoor/process/ranker"
 	"bluebelldoor/process/recorder"
 	"bluebelldoor/process/registrar"
 	"bluebelldoor/process/turner"
@@ -35,6 +39,9 @@
 	// oldAddressTimes is how many times an answer's validity callers may use
 	// it, as the slowest of them do.
 	oldAddressTimes = 3
+	// readers is how many VMs read the platform for all: a second one, so that
+	// the loss of one delays nothing.
+	readers = 2
 	// quietFor is how long no request must have come before a stop ends early.
 	quietFor = time.Second
 )
@@ -44,6 +51,7 @@
 	Codec          bluebelldoor.Codec
 	Catalogue      bluebelldoor.Catalogue
 	Mover          bluebelldoor.Mover
+	Reporter       bluebelldoor.Reporter
 	Clock          bluebelldoor.Clock
 	ServeReady     func(address string, ready func() bool) (func(), error)
 	ServeDirectory func(address string, entry func(dataCentre string) ([]string, time.Duration)) (func(), error)
@@ -69,14 +77,19 @@
 func NewRelay(settings *bluebelldoor.RelaySettings, adapters RelayAdapters, log hclog.Logger) (*Relay, func(), error) {
 	r := &Relay{settings: settings, adapters: adapters, log: log, life: newLife(), metrics: recorder.NewRelayMetrics()}
 	peers := messenger.New([]byte(settings.FleetSecret))
-	r.registrar = registrar.New(adapters.Catalogue, adapters.Clock, log.Named("registrar"))
+	r.registrar = registrar.New(adapters.Catalogue, adapters.Clock, r.reads, func() { r.gossiper.Hurry() }, log.Named("registrar"))
 	r.gossiper = gossiper.New(bluebelldoor.MemberState{
 		Name:          settings.Name,
 		Incarnation:   time.Now().UnixMilli(),
 		DataCentre:    settings.DataCentre,
 		CallerAddress: settings.CallerAddress,
 		PeerAddress:   settings.PeerAddress,
-	}, settings.Seeds, adapters.Clock, peers, r.describe, r.told, log.Named("gossiper"))
+	}, settings.Seeds, adapters.Clock, peers, gossiper.Hooks{
+		Describe: r.describe,
+		Told:     func(s bluebelldoor.MemberState) { r.relayer.PeerLoads(s.Name, s.Loads) },
+		News:     r.registrar.News,
+		Hear:     r.registrar.Hear,
+	}, log.Named("gossiper"))
 	r.turner = turner.New(settings.Name, peers, r.gossiper.Alive)
 	targets, closeTargets := exchanger.New(adapters.Codec)
 	r.onStop(closeTargets)
@@ -88,7 +101,7 @@
 	}, relayer.Sources{
 		View:     r.registrar.View,
 		Evidence: r.registrar.Evidence,
-		VMs:      func() int { return len(r.gossiper.Alive()) },
+		VMs:      r.gossiper.Known,
 		Placed:   r.gossiper.Hurry,
 	}, relayer.Parts{
 		Codec:   adapters.Codec,
@@ -109,6 +122,7 @@
 	}
 	r.onStop(r.registrar.Start())
 	r.onStop(r.gossiper.Start())
+	r.onStop(prober.New(adapters.Reporter, r.registrar, r.relayer.Streaming, log.Named("prober")))
 	r.fire(ready)
 	log.Info("serving", "vm", settings.Name, "dataCentre", settings.DataCentre, "callers", settings.CallerAddress)
 	return r, r.cleanUp, nil
@@ -177,10 +191,22 @@
 	s.Ready = r.serving()
 	s.Leaving = r.life.MustState() != Serving
 	s.Loads = r.relayer.Loads()
+	s.Revision = r.registrar.Revision()
 }
 
-// told takes what a peer says of itself.
-func (r *Relay) told(s *bluebelldoor.MemberState) { r.relayer.PeerLoads(s.Name, s.Loads) }
+// reads reports whether this VM reads the platform on behalf of its peers: the
+// first ones by rendezvous hashing, in different data centres.
+func (r *Relay) reads() bool {
+	byDataCentre := map[string][]string{}
+	for _, m := range r.gossiper.Alive() {
+		if !m.Leaving {
+			byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], m.Name)
+		}
+	}
+	dataCentres := ranker.Top("readers", slices.Collect(maps.Keys(byDataCentre)), readers)
+	return slices.Contains(dataCentres, r.settings.DataCentre) &&
+		ranker.First("reader", byDataCentre[r.settings.DataCentre]) == r.settings.Name
+}
 
 // entry names the VMs that a caller may use.
 func (r *Relay) entry(string) ([]string, time.Duration) {
@@ -198,8 +224,8 @@
 }
 
 // Exchange implements bluebelldoor.FleetHandler.
-func (r *Relay) Exchange(_ context.Context, in *bluebelldoor.ExchangeMessage) (*bluebelldoor.ExchangeMessage, error) {
-	return r.gossiper.Exchange(in), nil
+func (r *Relay) Exchange(ctx context.Context, in *bluebelldoor.ExchangeMessage) (*bluebelldoor.ExchangeMessage, error) {
+	return r.gossiper.Exchange(ctx, in), nil
 }
 
 // Turn implements bluebelldoor.FleetHandler.
--- a/process/turner/turner.go
+++ b/process/turner/turner.go
@@ -17,6 +17,9 @@
 const (
 	// lease is how long a turn lasts at most: two copies between data centres.
 	lease = 1200 * time.Millisecond
+	// gather is how long the first turn of an engine waits for others to ask,
+	// so that the smallest is first.
+	gather = 8 * time.Millisecond
 	// waitMost is how long a turn is waited for; engines leave within about
 	// two seconds of their notice.
 	waitMost = 2500 * time.Millisecond
@@ -32,6 +35,9 @@
 	lines map[string]*line
 }
 
+// gathering holds the first turn of an engine.
+const gathering = "(gathering)"
+
 // line is the queue for one engine.
 type line struct {
 	holder  string
@@ -152,6 +158,10 @@
 	if l == nil {
 		l = &line{}
 		t.lines[in.Engine] = l
+		if !in.AtOnce {
+			l.holder, l.until = gathering, time.Now().Add(gather)
+			time.AfterFunc(gather, func() { t.release(&bluebelldoor.TurnRequest{Engine: in.Engine, Request: gathering}) })
+		}
 	}
 	w := &waiter{request: in.Request, tokens: in.Tokens, granted: make(chan struct{})}
 	l.waiting = append(l.waiting, w)
--- a/relay.go
+++ b/relay.go
@@ -15,12 +15,19 @@
 	Now() time.Duration
 }
 
-// Change is one change of what the platform publishes. One field besides Key
-// and Gone is set; none is where the entry can't be read or is of no concern.
-type Change struct {
-	// Key names the entry that changed.
-	Key string
+// Record is what the platform publishes under one key, as it stands there.
+type Record struct {
+	Key string `cbor:"key"`
+	// Revision is that of the entry's last change, its removal included.
+	Revision uint64 `cbor:"revision"`
+	Value    []byte `cbor:"value"`
 	// Gone tells that the entry was removed.
+	Gone bool `cbor:"gone"`
+}
+
+// Change is what an entry says. One field besides Gone is set; none is where
+// the entry can't be read or is of no concern.
+type Change struct {
 	Gone       bool
 	Routing    *Routing
 	Instance   *Instance
@@ -33,9 +40,9 @@
 type Published struct {
 	// Revision is that of the catalogue when it answered.
 	Revision uint64
-	// Whole tells that Changes hold every entry, else those after a revision.
+	// Whole tells that Records are all there are, else those after a revision.
 	Whole   bool
-	Changes []Change
+	Records []Record
 }
 
 // Catalogue reads what the platform publishes: routing, targets, and data
@@ -46,6 +53,14 @@
 	// Watch waits for changes after a revision, at most wait. The error is
 	// ErrHistoryLost if the catalogue no longer knows them.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Published, error)
+	// Decode returns what an entry says.
+	Decode(e Record) Change
+}
+
+// Reporter asks targets what they say of themselves.
+type Reporter interface {
+	// Leaving reports whether the target is about to go.
+	Leaving(ctx context.Context, t *Instance) (bool, error)
 }
 
 // RelayRequest is what the product knows of a request that it passes on
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -16,6 +16,8 @@
 	prefillUnit = 3500
 	// awayCost weighs a target in another data centre.
 	awayCost = 0.03
+	// awayCopyCost weighs a copy to another data centre.
+	awayCopyCost = 1.5
 	// coldCost weighs a target that is still cold.
 	coldCost = 0.5
 	// failureCost weighs a target all of whose answers are failures beyond
@@ -23,8 +25,11 @@
 	failureCost = 8
 	// lapsedCost weighs a target whose entry has gone in an outage.
 	lapsedCost = 4
-	// fullCost weighs a target without a place or memory for the request.
+	// fullCost weighs a target without a place for the request.
 	fullCost = 100
+	// overCost weighs generations that together may come to need twice a
+	// target's memory. They need it only if they are long at the same time.
+	overCost = 30
 	// jitter breaks ties between VMs that see the same loads.
 	jitter = 0.05
 )
@@ -45,8 +50,10 @@
 	// ColdPerSecond is how many requests a cold target may get from this VM in
 	// a second; below 0 there is no limit.
 	ColdPerSecond float64
-	// Near makes targets of the data centre go first.
-	Near bool
+	// Copied tells that a copy of a running generation is to be placed: its
+	// prompt is not read again, and targets of the data centre go first, for
+	// copies to others take twice as long.
+	Copied bool
 }
 
 // Choice is the outcome of Pick.
@@ -54,7 +61,7 @@
 	// Index is that of the chosen candidate, -1 for none.
 	Index int
 	Cost  float64
-	// Full tells that the chosen candidate has no place or memory left.
+	// Full tells that the chosen candidate has no place left.
 	Full bool
 	// Requests, Tokens and Prefill are what it is thought to have.
 	Requests, Tokens, Prefill int
@@ -100,8 +107,8 @@
 	cost := failureCost * math.Max(0, l.failures[c.Instance.ID]-usual)
 	if c.Instance.DataCentre != d.DataCentre {
 		cost += awayCost
-		if d.Near {
-			cost++
+		if d.Copied {
+			cost += awayCopyCost
 		}
 	}
 	if c.Cold {
@@ -118,8 +125,10 @@
 	}
 	if d.Engine != nil && d.Tokens > 0 {
 		share := float64(sum.tokens+d.Tokens) / float64(max(1, d.Engine.MemoryTokens))
-		cost += 2*share*share*share + float64(sum.prefill)/prefillUnit
-		full = full || share > 1
+		cost += 2*share*share*share + overCost*max(0, share-1)
+		if !d.Copied {
+			cost += float64(sum.prefill) / prefillUnit
+		}
 	}
 	if full {
 		cost += fullCost
--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -33,6 +33,24 @@
 	}()
 }
 
+// Streaming returns the targets on which generations of this VM run.
+func (r *Relayer) Streaming() []*bluebelldoor.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen := map[string]bool{}
+	var out []*bluebelldoor.Instance
+	for s := range r.streams {
+		s.mu.Lock()
+		t := s.target
+		s.mu.Unlock()
+		if s.job.service.Engine != nil && !seen[t.ID] {
+			seen[t.ID] = true
+			out = append(out, t.Instance)
+		}
+	}
+	return out
+}
+
 // on returns the streams that run on a target.
 func (r *Relayer) on(t *registrar.Target) []*stream {
 	r.mu.Lock()
@@ -135,7 +153,7 @@
 		}
 	}
 	demand := j.demand()
-	demand.DataCentre, demand.Near = source.DataCentre, true
+	demand.DataCentre, demand.Copied = source.DataCentre, true
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	choice := j.ledger.Pick(candidates[:kept], demand, now, rand.Float64)
