A few VMs serve, the others stand by; the fleet's talk stays bounded

Ruled out: requests (a fifth of the bytes) and the store.

Members choose the same few VMs that serve callers: at least three a data centre, larger ones first, more while processor time asks for it. Those tell each other of each placement; the rest ask one of them every 0.75 s, and serve whoever still comes to them. What all may send (cold targets, retries) is shared between the two kinds.

--- a/fleet.go
+++ b/fleet.go
@@ -15,6 +15,10 @@
 	PeerAddress   string `cbor:"peerAddress"`
 	Ready         bool   `cbor:"ready"`
 	Leaving       bool   `cbor:"leaving"`
+	// Capacity is the processor time that the VM may use, in cores, and Use
+	// what it used lately.
+	Capacity float64 `cbor:"capacity"`
+	Use      float64 `cbor:"use"`
 	// Loads is what the VM has on the targets.
 	Loads []TargetLoad `cbor:"loads,omitempty"`
 	// Revision is that of the platform's entries that the VM holds.
@@ -35,8 +39,8 @@
 // holds.
 type RecordNews struct {
 	// Base is the revision that Records follow, 0 if they are all there are.
-	Base     uint64  `cbor:"base"`
-	Revision uint64  `cbor:"revision"`
+	Base     uint64   `cbor:"base"`
+	Revision uint64   `cbor:"revision"`
 	Records  []Record `cbor:"records,omitempty"`
 	// EvidenceAgeMs is how old the proof is, when the message leaves, that
 	// Revision was the platform's newest; below 0 there is none.
@@ -47,7 +51,9 @@
 type ExchangeMessage struct {
 	From    string        `cbor:"from"`
 	Members []MemberState `cbor:"members"`
-	News    RecordNews     `cbor:"news"`
+	News    RecordNews    `cbor:"news"`
+	// Known is how many members the sender knows of.
+	Known int `cbor:"known"`
 }
 
 // TurnRequest asks for the right to copy over the link of an engine.
--- a/process/budgeter/budgeter.go
+++ b/process/budgeter/budgeter.go
@@ -69,10 +69,10 @@
 	c.requests[c.bucket%(buckets+1)]++
 }
 
-// Repeat counts a repeated send and reports whether the budget holds it, for a
-// fleet of so many VMs. share is the part of the budget that this kind of
-// repeated send may use up, at most 1.
-func (b *Budgeter) Repeat(service string, vms int, share float64, now time.Duration) bool {
+// Repeat counts a repeated send and reports whether the budget holds it. own is
+// the VM's part of the allowance, kind the part of the budget that this kind of
+// repeated send may use up; both are at most 1.
+func (b *Budgeter) Repeat(service string, own, kind float64, now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.counts(service, now)
@@ -81,8 +81,8 @@
 		requests += c.requests[i]
 		repeats += c.repeats[i]
 	}
-	allowed := safety * (b.settings.Ratio*float64(requests) + b.settings.Allowance/float64(max(1, vms)))
-	if float64(repeats+1) > share*allowed {
+	allowed := safety * (b.settings.Ratio*float64(requests) + b.settings.Allowance*own)
+	if float64(repeats+1) > kind*allowed {
 		return false
 	}
 	c.repeats[c.bucket%(buckets+1)]++
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,11 +16,25 @@
 const (
 	// round is the time between two heartbeats.
 	round = 250 * time.Millisecond
+	// soonest is the least time between two rounds that are asked for.
+	soonest = 15 * time.Millisecond
+	// leafRounds is how many rounds pass between two questions of a VM that
+	// stands by to one that serves.
+	leafRounds = 3
+	// fullRounds is how many rounds pass between two tellings of all members
+	// to a VM that serves; changes are told at once.
+	fullRounds = 8
+	// reviveRounds is how many rounds pass between two tries to reach seeds
+	// that are not known and members that have fallen silent.
+	reviveRounds = 4
 	// exchangeTimeout bounds one exchange; a peer that is cut off says nothing.
 	exchangeTimeout = 500 * time.Millisecond
-	// fanOut is how many peers are told in a round; fleets up to that size
-	// tell each other directly.
-	fanOut = 12
+	// fanOut is how many peers are told in a round; up to that many VMs that
+	// serve tell each other directly.
+	fanOut = 16
+	// hubShare is the part of what all VMs may send that belongs to those that
+	// serve; the rest is for those that stand by.
+	hubShare = 0.8
 )
 
 // Hooks join a gossiper to the rest of the process.
@@ -35,6 +50,14 @@
 	Hear func(ctx context.Context, news bluebelldoor.RecordNews, asked time.Duration, answer bool)
 }
 
+// state is what the rest of the process sees of the fleet. It is immutable.
+type state struct {
+	alive []bluebelldoor.MemberState
+	hubs  []bluebelldoor.MemberState
+	isHub bool
+	known int
+}
+
 // Gossiper keeps one VM's membership. It is safe for concurrent use.
 type Gossiper struct {
 	clock bluebelldoor.Clock
@@ -42,13 +65,18 @@
 	seeds []string
 	log   hclog.Logger
 	hooks Hooks
+	now   chan struct{}
+	state atomic.Pointer[state]
 
 	mu      sync.Mutex
 	table   *Table
 	pending map[string]bool
-	known   map[string]bool
-	alive   atomic.Pointer[[]bluebelldoor.MemberState]
-	now     chan struct{}
+	noted   map[string]bool
+	// changed is the round in which the members that are alive, or what they
+	// say of their readiness, last changed.
+	changed uint64
+	// told is the largest number of members that a peer has told of.
+	told int
 }
 
 // New returns a gossiper for the VM that says self of itself.
@@ -61,7 +89,7 @@
 		hooks:   hooks,
 		table:   NewTable(self),
 		pending: map[string]bool{},
-		known:   map[string]bool{},
+		noted:   map[string]bool{},
 		now:     make(chan struct{}, 1),
 	}
 	g.publish()
@@ -70,14 +98,27 @@
 
 // Alive returns the members that are alive, the VM itself included. Callers
 // must not change the slice.
-func (g *Gossiper) Alive() []bluebelldoor.MemberState { return *g.alive.Load() }
+func (g *Gossiper) Alive() []bluebelldoor.MemberState { return g.state.Load().alive }
 
-// Known returns how many members may be running, the VM itself included: also
-// those that have been silent for up to a minute.
-func (g *Gossiper) Known() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.table.Known()
+// Hubs returns the members that serve callers. Callers must not change the
+// slice.
+func (g *Gossiper) Hubs() []bluebelldoor.MemberState { return g.state.Load().hubs }
+
+// IsHub reports whether the VM itself serves callers.
+func (g *Gossiper) IsHub() bool { return g.state.Load().isHub }
+
+// Share returns the part of what all VMs together may send that this VM may.
+func (g *Gossiper) Share() float64 {
+	s := g.state.Load()
+	hubs := len(s.hubs)
+	switch rest := s.known - hubs; {
+	case rest <= 0 || hubs == 0:
+		return 1 / float64(max(1, s.known))
+	case s.isHub:
+		return hubShare / float64(hubs)
+	default:
+		return (1 - hubShare) / float64(rest)
+	}
 }
 
 // Hurry starts the next round at once.
@@ -94,17 +135,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		ticker := time.NewTicker(round)
-		defer ticker.Stop()
-		for {
-			g.beat(ctx)
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-			case <-g.now:
-			}
-		}
+		g.run(ctx)
 	}()
 	return func() {
 		cancel()
@@ -112,11 +143,36 @@
 	}
 }
 
+func (g *Gossiper) run(ctx context.Context) {
+	ticker := time.NewTicker(round)
+	defer ticker.Stop()
+	for {
+		g.beat(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(soonest):
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-g.now:
+		}
+	}
+}
+
+// recipient is a peer that is told in a round.
+type recipient struct {
+	address  string
+	revision uint64
+	members  []bluebelldoor.MemberState
+}
+
 func (g *Gossiper) beat(ctx context.Context) {
 	g.mu.Lock()
 	g.table.Beat(g.hooks.Describe)
 	g.publish()
-	self, members := g.table.Self(), g.table.News(g.clock.Now())
 	var to []recipient
 	for _, r := range g.recipients() {
 		if !g.pending[r.address] {
@@ -126,41 +182,109 @@
 	}
 	g.mu.Unlock()
 	for _, r := range to {
-		go g.exchange(ctx, r, self.Name, members)
+		go g.exchange(ctx, r)
 	}
 }
 
-// recipient is a peer that is told in a round, and the revision it holds.
-type recipient struct {
-	address  string
-	revision uint64
-}
-
-// recipients returns the peers of this round: those that are alive, and seeds
-// that are not known yet. A mutex is held.
+// recipients returns the peers of this round. A mutex is held.
 func (g *Gossiper) recipients() []recipient {
-	seen := map[string]bool{g.table.Self().PeerAddress: true}
+	beat, self, s := g.table.Self().Heartbeat, g.table.Self(), g.state.Load()
 	var out []recipient
-	for _, m := range g.Alive() {
-		if !seen[m.PeerAddress] {
-			seen[m.PeerAddress] = true
-			out = append(out, recipient{m.PeerAddress, m.Revision})
+	add := func(m bluebelldoor.MemberState, members []bluebelldoor.MemberState) {
+		if m.PeerAddress != self.PeerAddress {
+			out = append(out, recipient{m.PeerAddress, m.Revision, members})
+		}
+	}
+	switch {
+	case s.isHub:
+		members := []bluebelldoor.MemberState{self}
+		if beat%fullRounds == 0 || beat-g.changed < 2 {
+			members = g.all()
+		}
+		hubs := slices.Clone(s.hubs)
+		rand.Shuffle(len(hubs), func(i, j int) { hubs[i], hubs[j] = hubs[j], hubs[i] })
+		for _, hub := range hubs[:min(len(hubs), fanOut)] {
+			add(hub, members)
+		}
+	case beat%leafRounds == 0 || beat-g.changed < 2:
+		if hub := g.nearHub(s.hubs, beat/leafRounds); hub != nil {
+			add(*hub, []bluebelldoor.MemberState{self})
 		}
 	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	out = out[:min(len(out), fanOut)]
+	if beat%reviveRounds == 0 {
+		out = append(out, g.revive(s)...)
+	}
+	return out
+}
+
+// nearHub returns a VM that serves, of the own data centre first; n chooses
+// another each time.
+func (g *Gossiper) nearHub(hubs []bluebelldoor.MemberState, n uint64) *bluebelldoor.MemberState {
+	var near []bluebelldoor.MemberState
+	for _, hub := range hubs {
+		if hub.DataCentre == g.table.Self().DataCentre {
+			near = append(near, hub)
+		}
+	}
+	if len(near) == 0 {
+		near = hubs
+	}
+	if len(near) == 0 {
+		return nil
+	}
+	return &near[n%uint64(len(near))]
+}
+
+// revive returns seeds that are not alive, and one member that has fallen
+// silent: two parts of a fleet that were cut off find each other so.
+func (g *Gossiper) revive(s *state) []recipient {
+	if !s.isHub && len(s.hubs) > 0 {
+		return nil
+	}
+	known := map[string]bool{g.table.Self().PeerAddress: true}
+	for _, m := range s.alive {
+		known[m.PeerAddress] = true
+	}
+	var out []recipient
+	members := g.all()
 	for _, seed := range g.seeds {
-		if !seen[seed] {
-			out = append(out, recipient{address: seed})
+		if !known[seed] {
+			out = append(out, recipient{seed, 0, members})
 		}
 	}
+	if silent := g.table.Silent(g.clock.Now()); len(silent) > 0 {
+		m := silent[rand.IntN(len(silent))]
+		out = append(out, recipient{m.PeerAddress, m.Revision, members})
+	}
 	return out
 }
 
-func (g *Gossiper) exchange(ctx context.Context, to recipient, self string, members []bluebelldoor.MemberState) {
+// all returns every member that is alive, without loads but the VM's own.
+func (g *Gossiper) all() []bluebelldoor.MemberState { return g.plain(g.state.Load().alive) }
+
+// plain returns states without loads, which only their owner tells, and the
+// VM's own whole.
+func (g *Gossiper) plain(states []bluebelldoor.MemberState) []bluebelldoor.MemberState {
+	self := g.table.Self()
+	out := []bluebelldoor.MemberState{self}
+	for _, s := range states {
+		if s.Name != self.Name {
+			s.Loads = nil
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (g *Gossiper) exchange(ctx context.Context, to recipient) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	message := &bluebelldoor.ExchangeMessage{From: self, Members: members, News: g.hooks.News(ctx, to.revision)}
+	message := &bluebelldoor.ExchangeMessage{
+		From:    to.members[0].Name,
+		Members: to.members,
+		News:    g.hooks.News(ctx, to.revision),
+		Known:   g.state.Load().known,
+	}
 	asked := g.clock.Now()
 	reply, err := g.peers.Exchange(ctx, to.address, message)
 	g.mu.Lock()
@@ -177,40 +301,61 @@
 func (g *Gossiper) merge(in *bluebelldoor.ExchangeMessage) {
 	g.mu.Lock()
 	direct := g.table.Merge(in.From, in.Members, g.clock.Now())
-	g.publish()
+	g.told = max(g.told, in.Known)
 	g.mu.Unlock()
 	for _, s := range direct {
 		g.hooks.Told(s)
 	}
 }
 
-// Exchange answers a peer.
+// Exchange answers a peer: one that serves is told of the VM itself, one that
+// stands by of all that serve, one that is not known yet of all.
 func (g *Gossiper) Exchange(ctx context.Context, in *bluebelldoor.ExchangeMessage) *bluebelldoor.ExchangeMessage {
+	g.mu.Lock()
+	known := g.table.members[in.From] != nil
+	g.mu.Unlock()
 	g.merge(in)
 	g.hooks.Hear(ctx, in.News, 0, false)
 	g.mu.Lock()
-	out := &bluebelldoor.ExchangeMessage{From: g.table.Self().Name, Members: g.table.News(g.clock.Now())}
+	s := g.state.Load()
+	out := &bluebelldoor.ExchangeMessage{From: g.table.Self().Name, Known: s.known}
+	switch {
+	case !known:
+		out.Members = g.all()
+	case slices.ContainsFunc(s.hubs, func(m bluebelldoor.MemberState) bool { return m.Name == in.From }):
+		out.Members = []bluebelldoor.MemberState{g.table.Self()}
+	default:
+		out.Members = g.plain(s.hubs)
+		out.Members[0].Loads = nil
+	}
 	g.mu.Unlock()
 	out.News = g.hooks.News(ctx, in.News.Revision)
 	return out
 }
 
-// publish makes the members that are alive visible and logs who came and who
-// fell silent. A mutex is held but for New.
+// publish makes the fleet visible and logs who came and who fell silent. A
+// mutex is held but for New.
 func (g *Gossiper) publish() {
 	alive := g.table.Alive(g.clock.Now())
-	g.alive.Store(&alive)
+	self := g.table.Self()
+	s := &state{alive: alive, hubs: Hubs(alive), known: max(g.table.Known(), g.told)}
+	s.isHub = slices.ContainsFunc(s.hubs, func(m bluebelldoor.MemberState) bool { return m.Name == self.Name })
+	g.state.Store(s)
 	now := make(map[string]bool, len(alive))
 	for _, m := range alive {
-		now[m.Name] = true
-		if !g.known[m.Name] {
-			g.log.Info("member alive", "vm", m.Name, "incarnation", m.Incarnation)
+		now[m.Name] = m.Ready && !m.Leaving
+		if _, noted := g.noted[m.Name]; !noted {
+			g.log.Info("member alive", "vm", m.Name, "incarnation", m.Incarnation, "known", s.known)
+		}
+		if before, noted := g.noted[m.Name]; !noted || before != now[m.Name] {
+			g.changed = self.Heartbeat
 		}
 	}
-	for name := range g.known {
-		if !now[name] {
+	for name := range g.noted {
+		if _, still := now[name]; !still {
+			g.changed = self.Heartbeat
 			g.log.Warn("member silent", "vm", name, "limitMs", aliveFor.Milliseconds())
 		}
 	}
-	g.known = now
+	g.noted = now
 }
--- a/process/gossiper/table.go
+++ b/process/gossiper/table.go
@@ -14,8 +14,9 @@
 	// directory must not name the dead.
 	aliveFor = 2500 * time.Millisecond
 	// forgetAfter is how long a dead member is kept: old news of it must not
-	// bring it back, and its share of what all VMs may send stays its own.
-	forgetAfter = time.Minute
+	// bring it back, and a VM that is cut off must not take the others' part
+	// of what all may send.
+	forgetAfter = 10 * time.Minute
 )
 
 // member is what is known of a VM.
@@ -90,17 +91,15 @@
 	return true
 }
 
-// News returns the states to send to a peer.
-func (t *Table) News(now time.Duration) []bluebelldoor.MemberState {
-	out := []bluebelldoor.MemberState{t.self}
+// Silent returns the members that are known and not alive.
+func (t *Table) Silent(now time.Duration) []bluebelldoor.MemberState {
+	var out []bluebelldoor.MemberState
 	for name, m := range t.members {
 		switch silent := now - m.heard; {
 		case silent > forgetAfter:
 			delete(t.members, name)
-		case silent <= aliveFor:
-			s := m.state
-			s.Loads = nil
-			out = append(out, s)
+		case silent > aliveFor:
+			out = append(out, m.state)
 		}
 	}
 	return out
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -24,6 +24,9 @@
 	// staleAfter is the age of the evidence at which a VM that leaves reading
 	// to its peers reads for itself: a watch, a round between peers, and slack.
 	staleAfter = 1300 * time.Millisecond
+	// servedStaleAfter is the same for a VM that stands by and asks its peers
+	// every three rounds.
+	servedStaleAfter = 2600 * time.Millisecond
 	// lookAgain is how often a VM that leaves reading to its peers looks at the
 	// age of its evidence.
 	lookAgain = 100 * time.Millisecond
@@ -46,9 +49,8 @@
 	catalogue bluebelldoor.Catalogue
 	clock     bluebelldoor.Clock
 	log       hclog.Logger
-	reads     func() bool
+	role      Role
 	observers []Observer
-	changed   func()
 
 	view     atomic.Pointer[View]
 	evidence atomic.Int64
@@ -57,16 +59,23 @@
 	book     *book
 }
 
-// New returns a registrar that has read nothing yet. reads tells whether this
-// VM reads the platform on behalf of others; changed is called when there is
-// news for peers.
-func New(catalogue bluebelldoor.Catalogue, clock bluebelldoor.Clock, reads func() bool, changed func(), log hclog.Logger) *Registrar {
+// Role is a VM's part in reading the platform.
+type Role struct {
+	// Reads tells whether the VM reads on behalf of others.
+	Reads func() bool
+	// Served tells whether the VM stands by, and asks its peers less often.
+	Served func() bool
+	// Changed is called when there is news for peers.
+	Changed func()
+}
+
+// New returns a registrar that has read nothing yet.
+func New(catalogue bluebelldoor.Catalogue, clock bluebelldoor.Clock, role Role, log hclog.Logger) *Registrar {
 	r := &Registrar{
 		catalogue: catalogue,
 		clock:     clock,
 		log:       log,
-		reads:     reads,
-		changed:   changed,
+		role:      role,
 		updates:   make(chan func()),
 	}
 	r.book = newBook(catalogue.Decode, log)
@@ -154,7 +163,7 @@
 	connected := false
 	history := true
 	for ctx.Err() == nil {
-		if age, proved := r.Evidence(); proved && age < staleAfter && !r.reads() {
+		if age, proved := r.Evidence(); proved && age < r.staleAfter() && !r.role.Reads() {
 			sleep(ctx, lookAgain)
 			continue
 		}
@@ -182,6 +191,13 @@
 	}
 }
 
+func (r *Registrar) staleAfter() time.Duration {
+	if r.role.Served() {
+		return servedStaleAfter
+	}
+	return staleAfter
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -204,7 +220,7 @@
 		r.prove(asked)
 	}
 	if r.book.revision > before {
-		r.changed()
+		r.role.Changed()
 	}
 }
 
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -20,6 +20,7 @@
 	"bluebelldoor/process/ranker"
 	"bluebelldoor/process/recorder"
 	"bluebelldoor/process/registrar"
+	"bluebelldoor/process/timer"
 	"bluebelldoor/process/turner"
 	"bluebelldoor/request/relayer"
 )
@@ -69,6 +70,7 @@
 	turner    *turner.Turner
 	relayer   *relayer.Relayer
 	acceptor  *acceptor.Acceptor
+	meter     timer.Meter
 	cleanUps  []func()
 }
 
@@ -77,13 +79,18 @@
 func NewRelay(settings *bluebelldoor.RelaySettings, adapters RelayAdapters, log hclog.Logger) (*Relay, func(), error) {
 	r := &Relay{settings: settings, adapters: adapters, log: log, life: newLife(), metrics: recorder.NewRelayMetrics()}
 	peers := messenger.New([]byte(settings.FleetSecret))
-	r.registrar = registrar.New(adapters.Catalogue, adapters.Clock, r.reads, func() { r.gossiper.Hurry() }, log.Named("registrar"))
+	r.registrar = registrar.New(adapters.Catalogue, adapters.Clock, registrar.Role{
+		Reads:   r.reads,
+		Served:  func() bool { return !r.gossiper.IsHub() },
+		Changed: func() { r.gossiper.Hurry() },
+	}, log.Named("registrar"))
 	r.gossiper = gossiper.New(bluebelldoor.MemberState{
 		Name:          settings.Name,
 		Incarnation:   time.Now().UnixMilli(),
 		DataCentre:    settings.DataCentre,
 		CallerAddress: settings.CallerAddress,
 		PeerAddress:   settings.PeerAddress,
+		Capacity:      settings.Cores,
 	}, settings.Seeds, adapters.Clock, peers, gossiper.Hooks{
 		Describe: r.describe,
 		Told:     func(s bluebelldoor.MemberState) { r.relayer.PeerLoads(s.Name, s.Loads) },
@@ -101,7 +108,7 @@
 	}, relayer.Sources{
 		View:     r.registrar.View,
 		Evidence: r.registrar.Evidence,
-		VMs:      r.gossiper.Known,
+		Share:    r.gossiper.Share,
 		Placed:   r.gossiper.Hurry,
 	}, relayer.Parts{
 		Codec:   adapters.Codec,
@@ -192,13 +199,18 @@
 	s.Leaving = r.life.MustState() != Serving
 	s.Loads = r.relayer.Loads()
 	s.Revision = r.registrar.Revision()
+	use, err := r.meter.Cores(r.adapters.Clock.Now())
+	if err != nil {
+		r.log.Warn("processor time not known", "error", err)
+	}
+	s.Use = use
 }
 
 // reads reports whether this VM reads the platform on behalf of its peers: the
 // first ones by rendezvous hashing, in different data centres.
 func (r *Relay) reads() bool {
 	byDataCentre := map[string][]string{}
-	for _, m := range r.gossiper.Alive() {
+	for _, m := range r.gossiper.Hubs() {
 		if !m.Leaving {
 			byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], m.Name)
 		}
@@ -208,10 +220,20 @@
 		ranker.First("reader", byDataCentre[r.settings.DataCentre]) == r.settings.Name
 }
 
-// entry names the VMs that a caller may use.
+// entry names the VMs that a caller may use: those that serve, or else all
+// that are ready.
 func (r *Relay) entry(string) ([]string, time.Duration) {
+	out := r.addresses(r.gossiper.Hubs())
+	if len(out) == 0 {
+		out = r.addresses(r.gossiper.Alive())
+	}
+	return out, min(entryValidFor, r.settings.AddressValidFor)
+}
+
+// addresses returns the caller addresses of the members that are ready.
+func (r *Relay) addresses(members []bluebelldoor.MemberState) []string {
 	var out []string
-	for _, m := range r.gossiper.Alive() {
+	for _, m := range members {
 		ready := m.Ready && !m.Leaving
 		if m.Name == r.settings.Name {
 			ready = r.serving()
@@ -220,7 +242,7 @@
 			out = append(out, m.CallerAddress)
 		}
 	}
-	return out, min(entryValidFor, r.settings.AddressValidFor)
+	return out
 }
 
 // Exchange implements bluebelldoor.FleetHandler.
--- a/relaysettings.go
+++ b/relaysettings.go
@@ -27,6 +27,8 @@
 	LogLevel    string
 	// MemoryMegabytes is the limit on the process's memory.
 	MemoryMegabytes int
+	// Cores is the processor time that the process may use, in cores.
+	Cores float64
 	// StopWithin is the time between the word to stop and the end.
 	StopWithin time.Duration
 	// AddressValidFor is how long a caller may keep an answer of the directory.
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -51,8 +51,9 @@
 type Sources struct {
 	View     func() *registrar.View
 	Evidence func() (time.Duration, bool)
-	// VMs returns how many VMs may be sending, alive or only just silent.
-	VMs func() int
+	// Share returns the part of what all VMs together may send that this VM
+	// may.
+	Share func() float64
 	// Placed is called when a generation has been given a target: peers that
 	// do not hear of it at once choose the same.
 	Placed func()
@@ -305,9 +306,7 @@
 		d.Tokens = j.request.PromptTokens + j.expected()
 	}
 	if j.service.ColdPerSecond > 0 {
-		vms := float64(max(1, j.sources.VMs()))
-		d.ColdPerSecond = (j.service.ColdPerSecond*j.settings.ColdFactor + j.settings.ColdAllowance) * coldSafety / vms
-		d.ColdPerSecond = max(1, d.ColdPerSecond)
+		d.ColdPerSecond = (j.service.ColdPerSecond*j.settings.ColdFactor + j.settings.ColdAllowance) * coldSafety * j.sources.Share()
 	}
 	return d
 }
@@ -422,7 +421,7 @@
 }
 
 func (j *job) budget(share float64) bool {
-	return j.Budget.Repeat(j.name, j.sources.VMs(), share, j.clock.Now())
+	return j.Budget.Repeat(j.name, j.sources.Share(), share, j.clock.Now())
 }
 
 // outcome notes how a target did.
--- a/version/parser/relay.go
+++ b/version/parser/relay.go
@@ -19,6 +19,8 @@
 	"fleetSecret":      {kind: text, max: 256},
 	"logLevel":         {kind: text, oneOf: []string{"trace", "debug", "info", "warn", "error"}},
 	"memoryMegabytes":  whole(32, 1<<20).must(),
+	"cpuShare":         schema{kind: number, max: 1024}.must(),
+	"cores":            schema{kind: number, max: 1024}.must(),
 	"stopWithin":       span(time.Second, time.Hour).must(),
 	"addressValidFor":  span(0, time.Hour).must(),
 	"keyEvidence":      span(100*time.Millisecond, time.Hour).must(),
@@ -42,6 +44,8 @@
 	FleetSecret      string   `json:"fleetSecret"`
 	LogLevel         string   `json:"logLevel"`
 	MemoryMegabytes  int      `json:"memoryMegabytes"`
+	CPUShare         float64  `json:"cpuShare"`
+	Cores            float64  `json:"cores"`
 	StopWithin       string   `json:"stopWithin"`
 	AddressValidFor  string   `json:"addressValidFor"`
 	KeyEvidence      string   `json:"keyEvidence"`
@@ -76,6 +80,7 @@
 		FleetSecret:      w.FleetSecret,
 		LogLevel:         w.LogLevel,
 		MemoryMegabytes:  w.MemoryMegabytes,
+		Cores:            w.CPUShare * w.Cores,
 		StopWithin:       parsed(w.StopWithin, 0),
 		AddressValidFor:  parsed(w.AddressValidFor, 0),
 		KeyEvidence:      parsed(w.KeyEvidence, 0),
