Let each VM decide whether it serves; tests of the fleet in virtual time

Cause: tests of thirty and a hundred VMs in virtual time showed VMs disagreeing about who serves: those that stand by know only a part of the fleet and chose from that part, and with the word of others passed on, two VMs kept demoting each other. Ruled out: the seeds (all were reached), lost exchanges.

Each VM now says of itself whether it serves, and is needed unless enough that go before it do; one that is missing steps in after up to 1.5 s, so that not all do at once.

Also: a head above the limit is refused although it came at once (its test failed first). Settings for a newer program are read: fields that are not known are passed over.

--- /dev/null
+++ b/connection/acceptor/acceptor_test.go
@@ -0,0 +1,169 @@
+package acceptor_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bluebelldoor"
+	"bluebelldoor/connection/acceptor"
+)
+
+const patience = 3 * time.Second
+
+// start serves with a handler and returns the address.
+func start(t *testing.T, limits bluebelldoor.CallerLimits, handler acceptor.Handler) (*acceptor.Acceptor, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	a, stop, err := acceptor.New(address, func() bluebelldoor.CallerLimits { return limits }, handler)
+	assert.NilError(t, err)
+	t.Cleanup(stop)
+	return a, address
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(patience)))
+	return conn
+}
+
+// echo answers with the method, the path and the body.
+func echo(_ context.Context, call *acceptor.Call) {
+	_ = call.Respond(200, http.Header{}, []byte(call.Request.Method+" "+call.Request.RequestURI+" "+string(call.Body)))
+}
+
+func TestRequests(t *testing.T) {
+	limits := bluebelldoor.CallerLimits{HeaderBytes: 400, BodyBytes: 100}
+	for name, c := range map[string]struct {
+		send   string
+		status int
+		body   string
+	}{
+		"no body":              {"GET /a?b=c HTTP/1.1\r\nHost: a\r\n\r\n", 200, "GET /a?b=c "},
+		"a length":             {"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nxyz", 200, "POST /a xyz"},
+		"chunks":               {"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nxy\r\n1\r\nz\r\n0\r\n\r\n", 200, "POST /a xyz"},
+		"a large head":         {"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("a", 500) + "\r\n\r\n", 431, ""},
+		"a large body":         {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n", 413, ""},
+		"large chunks":         {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n66\r\n" + strings.Repeat("a", 102) + "\r\n0\r\n\r\n", 413, ""},
+		"a smuggled request":   {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: a\r\n\r\n", 400, ""},
+		"noise":                {"\x16\x03\x01\r\n\r\n", 400, ""},
+		"a body that is noise": {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, address := start(t, limits, echo)
+			conn := dial(t, address)
+			_, err := io.WriteString(conn, c.send)
+			assert.NilError(t, err)
+			br := bufio.NewReader(conn)
+			response, err := http.ReadResponse(br, nil)
+			assert.NilError(t, err)
+			body, err := io.ReadAll(response.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, c.status)
+			assert.Equal(t, string(body), c.body)
+			if c.status != 200 {
+				_, err = br.ReadByte()
+				assert.Assert(t, err != nil, "the connection goes on after %d", c.status)
+			}
+		})
+	}
+}
+
+// TestKept sends several requests over one connection, the last two at once.
+func TestKept(t *testing.T) {
+	_, address := start(t, bluebelldoor.CallerLimits{}, echo)
+	conn := dial(t, address)
+	br := bufio.NewReader(conn)
+	one := "GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+	for _, send := range []string{one, one, one + one, ""} {
+		_, err := io.WriteString(conn, send)
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(br, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+	}
+}
+
+// TestEnds shows a caller how each way to end an answer looks.
+func TestEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		framed bool
+		end    func(*acceptor.Call)
+		whole  bool
+	}{
+		"framed and finished":   {true, func(c *acceptor.Call) { _ = c.Finish() }, true},
+		"framed and aborted":    {true, func(c *acceptor.Call) { c.Abort() }, false},
+		"unframed and finished": {false, func(c *acceptor.Call) { _ = c.Finish() }, true},
+		"unframed and aborted":  {false, func(c *acceptor.Call) { c.Abort() }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, address := start(t, bluebelldoor.CallerLimits{}, func(_ context.Context, call *acceptor.Call) {
+				_ = call.Begin(200, http.Header{}, c.framed)
+				_ = call.Write([]byte("part"))
+				time.Sleep(20 * time.Millisecond)
+				c.end(call)
+			})
+			conn := dial(t, address)
+			_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			assert.NilError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			body, err := io.ReadAll(response.Body)
+			assert.Equal(t, string(body), "part")
+			assert.Equal(t, err == nil, c.whole, "%v", err)
+		})
+	}
+}
+
+// TestCallerLeaves ends the context soon after the caller has closed.
+func TestCallerLeaves(t *testing.T) {
+	gone := make(chan struct{})
+	_, address := start(t, bluebelldoor.CallerLimits{}, func(ctx context.Context, call *acceptor.Call) {
+		<-ctx.Done()
+		close(gone)
+		call.Abort()
+	})
+	conn := dial(t, address)
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	assert.NilError(t, conn.Close())
+	select {
+	case <-gone:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("half a second after the caller has closed, its request goes on")
+	}
+}
+
+// TestLeave tells each caller that the connection ends with its answer.
+func TestLeave(t *testing.T) {
+	a, address := start(t, bluebelldoor.CallerLimits{}, echo)
+	conn := dial(t, address)
+	br := bufio.NewReader(conn)
+	for _, leaving := range []bool{false, true} {
+		if leaving {
+			a.Leave()
+		}
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(br, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, response.Close, leaving)
+	}
+}
--- a/connection/acceptor/head.go
+++ b/connection/acceptor/head.go
@@ -26,11 +26,14 @@
 		if err != nil {
 			return nil, err
 		}
-		if end := bytes.Index(have[max(0, seen-3):], headEnd); end >= 0 {
-			return have[:max(0, seen-3)+end+len(headEnd)], nil
-		}
+		from := max(0, seen-len(headEnd)+1)
+		end := bytes.Index(have[from:], headEnd)
+		head := from + end + len(headEnd)
 		seen = len(have)
-		if seen >= limit {
+		switch {
+		case end >= 0 && head <= limit:
+			return have[:head], nil
+		case end >= 0 || seen >= limit:
 			return nil, errHeadTooLarge
 		}
 		if _, err := br.Peek(seen + 1); err != nil {
--- a/fleet.go
+++ b/fleet.go
@@ -15,6 +15,8 @@
 	PeerAddress   string `cbor:"peerAddress"`
 	Ready         bool   `cbor:"ready"`
 	Leaving       bool   `cbor:"leaving"`
+	// Hub tells that the VM serves callers; the others stand by.
+	Hub bool `cbor:"hub"`
 	// Capacity is the processor time that the VM may use, in cores, and Use
 	// what it used lately.
 	Capacity float64 `cbor:"capacity"`
--- /dev/null
+++ b/process/budgeter/budgeter_test.go
@@ -0,0 +1,69 @@
+package budgeter_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bluebelldoor/process/budgeter"
+)
+
+const window = 10 * time.Second
+
+// TestWindows spends as much as the budgets of a fleet allow, under random
+// traffic with bursts and pauses, and holds each sliding window to the bound.
+func TestWindows(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		vms := 1 + random.IntN(12)
+		fleet := make([]*budgeter.Budgeter, vms)
+		for i := range fleet {
+			fleet[i] = budgeter.New(budgeter.Settings{Window: window, Ratio: 0.2, Allowance: 52})
+		}
+		var requests, repeats []time.Duration
+		for now := time.Duration(0); now < time.Minute; now += time.Duration(1+random.IntN(40)) * time.Millisecond {
+			b := fleet[random.IntN(vms)]
+			if random.IntN(3) > 0 && int(now/(7*time.Second))%2 == 0 {
+				b.Request("s", now)
+				requests = append(requests, now)
+			}
+			if b.Repeat("s", 1/float64(vms), 1, now) {
+				repeats = append(repeats, now)
+			}
+		}
+		for i, from := range repeats {
+			in := 0
+			for _, at := range repeats[i:] {
+				if at < from+window {
+					in++
+				}
+			}
+			// Requests count that came in the window or in the one before.
+			n := 0
+			for _, at := range requests {
+				if at >= from-window && at < from+window {
+					n++
+				}
+			}
+			assert.Assert(t, float64(in) <= 0.2*float64(n)+52, "seed %d: %d repeats for %d requests from %s", seed, in, n, from)
+		}
+	}
+}
+
+func TestKinds(t *testing.T) {
+	b := budgeter.New(budgeter.Settings{Window: window, Ratio: 0, Allowance: 10})
+	n := 0
+	for b.Repeat("s", 1, 0.5, 0) {
+		n++
+	}
+	assert.Equal(t, n, 4)
+	for b.Repeat("s", 1, 1, 0) {
+		n++
+	}
+	assert.Equal(t, n, 8)
+	assert.Assert(t, b.Repeat("other", 1, 1, 0))
+	assert.Assert(t, !b.Repeat("s", 1, 1, window-time.Millisecond))
+	assert.Assert(t, b.Repeat("s", 1, 1, window+2*time.Second))
+}
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -23,7 +23,10 @@
 	leafRounds = 3
 	// fullRounds is how many rounds pass between two tellings of all members
 	// to a VM that serves; changes are told at once.
-	fullRounds = 8
+	fullRounds = 4
+	// settleRounds is how many rounds after a change those who ask are told of
+	// all members.
+	settleRounds = 12
 	// reviveRounds is how many rounds pass between two tries to reach seeds
 	// that are not known and members that have fallen silent.
 	reviveRounds = 4
@@ -32,6 +35,9 @@
 	// fanOut is how many peers are told in a round; up to that many VMs that
 	// serve tell each other directly.
 	fanOut = 16
+	// longestPatience bounds how long a VM that is missing among those that
+	// serve waits for another to step in.
+	longestPatience = 1500 * time.Millisecond
 	// hubShare is the part of what all VMs may send that belongs to those that
 	// serve; the rest is for those that stand by.
 	hubShare = 0.8
@@ -68,15 +74,21 @@
 	now   chan struct{}
 	state atomic.Pointer[state]
 
+	exchanges sync.WaitGroup
+
 	mu      sync.Mutex
 	table   *Table
 	pending map[string]bool
 	noted   map[string]bool
-	// changed is the round in which the members that are alive, or what they
-	// say of their readiness, last changed.
+	// changed is the round in which the members that are alive, or those that
+	// serve, last changed.
 	changed uint64
 	// told is the largest number of members that a peer has told of.
 	told int
+	// wanting is since when the VM has been missing among those that serve, 0 if
+	// it is not, and patience how long it waits for another to step in.
+	wanting  time.Duration
+	patience time.Duration
 }
 
 // New returns a gossiper for the VM that says self of itself.
@@ -140,6 +152,7 @@
 	return func() {
 		cancel()
 		<-done
+		g.exchanges.Wait()
 	}
 }
 
@@ -182,7 +195,7 @@
 	}
 	g.mu.Unlock()
 	for _, r := range to {
-		go g.exchange(ctx, r)
+		g.exchanges.Go(func() { g.exchange(ctx, r) })
 	}
 }
 
@@ -235,8 +248,9 @@
 	return &near[n%uint64(len(near))]
 }
 
-// revive returns seeds that are not alive, and one member that has fallen
-// silent: two parts of a fleet that were cut off find each other so.
+// revive returns seeds that are not alive, one member that has fallen silent,
+// and any one that is alive: parts of a fleet that know little of each other,
+// after a start or a cut, find together so.
 func (g *Gossiper) revive(s *state) []recipient {
 	if !s.isHub && len(s.hubs) > 0 {
 		return nil
@@ -252,6 +266,12 @@
 			out = append(out, recipient{seed, 0, members})
 		}
 	}
+	if n := len(s.alive); n > 0 {
+		m := s.alive[rand.IntN(n)]
+		if m.PeerAddress != g.table.Self().PeerAddress {
+			out = append(out, recipient{m.PeerAddress, m.Revision, members})
+		}
+	}
 	if silent := g.table.Silent(g.clock.Now()); len(silent) > 0 {
 		m := silent[rand.IntN(len(silent))]
 		out = append(out, recipient{m.PeerAddress, m.Revision, members})
@@ -309,7 +329,8 @@
 }
 
 // Exchange answers a peer: one that serves is told of the VM itself, one that
-// stands by of all that serve, one that is not known yet of all.
+// stands by of all that serve, one that is not known yet of all, and so is each
+// for a while after a change.
 func (g *Gossiper) Exchange(ctx context.Context, in *bluebelldoor.ExchangeMessage) *bluebelldoor.ExchangeMessage {
 	g.mu.Lock()
 	known := g.table.members[in.From] != nil
@@ -320,7 +341,7 @@
 	s := g.state.Load()
 	out := &bluebelldoor.ExchangeMessage{From: g.table.Self().Name, Known: s.known}
 	switch {
-	case !known:
+	case !known, g.table.Self().Heartbeat-g.changed < settleRounds:
 		out.Members = g.all()
 	case slices.ContainsFunc(s.hubs, func(m bluebelldoor.MemberState) bool { return m.Name == in.From }):
 		out.Members = []bluebelldoor.MemberState{g.table.Self()}
@@ -333,17 +354,43 @@
 	return out
 }
 
+// stand decides whether the VM itself serves. One that is missing waits a
+// while, lest all that stand by step in at once. A mutex is held but for New.
+func (g *Gossiper) stand(hubs []bluebelldoor.MemberState) bool {
+	self, now := g.table.Self(), g.clock.Now()
+	switch needed := self.Ready && !self.Leaving && Needed(self, hubs); {
+	case !needed:
+		g.wanting = 0
+		return false
+	case self.Hub || len(hubs) == 0:
+		return true
+	case g.wanting == 0:
+		g.wanting = now
+		g.patience = time.Duration(rand.Int64N(int64(longestPatience)))
+	}
+	return now-g.wanting >= g.patience
+}
+
 // publish makes the fleet visible and logs who came and who fell silent. A
 // mutex is held but for New.
 func (g *Gossiper) publish() {
 	alive := g.table.Alive(g.clock.Now())
 	self := g.table.Self()
-	s := &state{alive: alive, hubs: Hubs(alive), known: max(g.table.Known(), g.told)}
-	s.isHub = slices.ContainsFunc(s.hubs, func(m bluebelldoor.MemberState) bool { return m.Name == self.Name })
+	s := &state{alive: alive, known: max(g.table.Known(), g.told)}
+	for _, m := range alive {
+		if m.Name != self.Name && serves(m) {
+			s.hubs = append(s.hubs, m)
+		}
+	}
+	s.isHub = g.stand(s.hubs)
+	g.table.self.Hub = s.isHub
+	if s.isHub {
+		s.hubs = append(s.hubs, g.table.Self())
+	}
 	g.state.Store(s)
 	now := make(map[string]bool, len(alive))
 	for _, m := range alive {
-		now[m.Name] = m.Ready && !m.Leaving
+		now[m.Name] = serves(m)
 		if _, noted := g.noted[m.Name]; !noted {
 			g.log.Info("member alive", "vm", m.Name, "incarnation", m.Incarnation, "known", s.known)
 		}
--- /dev/null
+++ b/process/gossiper/gossiper_test.go
@@ -0,0 +1,337 @@
+package gossiper_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"bluebelldoor"
+	"bluebelldoor/process/gossiper"
+)
+
+type steady struct{ start time.Time }
+
+func (s steady) Now() time.Duration { return time.Since(s.start) }
+
+// network joins VMs in virtual time and counts the bytes that each sends.
+type network struct {
+	mu    sync.Mutex
+	vms   map[string]*gossiper.Gossiper
+	cut   map[string]bool
+	bytes map[string]int
+}
+
+var errCut = errors.New("cut off")
+
+type from struct {
+	*network
+	name string
+}
+
+func (f from) Exchange(ctx context.Context, address string, in *bluebelldoor.ExchangeMessage) (*bluebelldoor.ExchangeMessage, error) {
+	f.mu.Lock()
+	to, cut := f.vms[address], f.cut[address] != f.cut[f.name]
+	f.mu.Unlock()
+	if to == nil || cut {
+		<-ctx.Done()
+		return nil, errCut
+	}
+	time.Sleep(time.Millisecond)
+	out := to.Exchange(ctx, in)
+	f.count(f.name, in)
+	f.count(address, out)
+	return out, nil
+}
+
+func (f from) count(name string, message *bluebelldoor.ExchangeMessage) {
+	data, err := cbor.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.bytes[name] += len(data)
+}
+
+func (f from) Turn(context.Context, string, *bluebelldoor.TurnRequest) (*bluebelldoor.TurnReply, error) {
+	panic("not asked")
+}
+
+// spec is a VM of a test fleet.
+type spec struct {
+	dataCentre string
+	cores      float64
+}
+
+func name(i int) string { return fmt.Sprintf("vm-%02d", i) }
+
+// begin starts a VM; its address is its name.
+func (n *network) begin(t *testing.T, i int, s spec, seeds []string, loads []bluebelldoor.TargetLoad) func() {
+	self := bluebelldoor.MemberState{
+		Name: name(i), PeerAddress: name(i), CallerAddress: name(i), DataCentre: s.dataCentre,
+		Incarnation: time.Now().UnixMilli(), Capacity: s.cores,
+	}
+	g := gossiper.New(self, seeds, steady{time.Now().Add(-time.Hour)}, from{n, name(i)}, gossiper.Hooks{
+		Describe: func(m *bluebelldoor.MemberState) { m.Ready, m.Loads, m.Use = true, loads, 0.01 },
+		Told:     func(bluebelldoor.MemberState) {},
+		News: func(context.Context, uint64) bluebelldoor.RecordNews {
+			return bluebelldoor.RecordNews{EvidenceAgeMs: -1}
+		},
+		Hear: func(context.Context, bluebelldoor.RecordNews, time.Duration, bool) {},
+	}, hclog.NewNullLogger())
+	n.mu.Lock()
+	n.vms[name(i)] = g
+	n.mu.Unlock()
+	return g.Start()
+}
+
+func newNetwork() *network {
+	return &network{vms: map[string]*gossiper.Gossiper{}, cut: map[string]bool{}, bytes: map[string]int{}}
+}
+
+func (n *network) fleet(t *testing.T, specs []spec, loads []bluebelldoor.TargetLoad) []func() {
+	var stops []func()
+	seeds := []string{name(0), name(len(specs) / 3), name(2 * len(specs) / 3)}
+	for i, s := range specs {
+		if s.cores < specs[0].cores {
+			// What a VM that stands by has on targets is little.
+			loads = loads[:min(len(loads), 2)]
+		}
+		stops = append(stops, n.begin(t, i, s, seeds, loads))
+	}
+	return stops
+}
+
+// stopAll stops VMs at once; their calls to each other end meanwhile.
+func stopAll(stops []func()) {
+	var wg sync.WaitGroup
+	for _, stop := range stops {
+		wg.Go(stop)
+	}
+	wg.Wait()
+}
+
+func uniform(n, dataCentres int) []spec {
+	var out []spec
+	for i := range n {
+		out = append(out, spec{fmt.Sprintf("dc-%d", i%dataCentres), 0.4})
+	}
+	return out
+}
+
+func hubNames(g *gossiper.Gossiper) []string {
+	out := map[string]bool{}
+	for _, m := range g.Hubs() {
+		out[m.Name] = true
+	}
+	var sorted []string
+	for i := range 500 {
+		if out[name(i)] {
+			sorted = append(sorted, name(i))
+		}
+	}
+	return sorted
+}
+
+// TestFindEachOther lets VMs that know three seeds agree on who serves.
+func TestFindEachOther(t *testing.T) {
+	for label, c := range map[string]struct{ n, dataCentres, hubs int }{
+		"one":        {1, 1, 1},
+		"six":        {6, 3, 6},
+		"seven":      {7, 3, 7},
+		"thirty":     {30, 3, 9},
+		"a hundred":  {100, 5, 15},
+		"one centre": {9, 1, 3},
+	} {
+		t.Run(label, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork()
+				stops := n.fleet(t, uniform(c.n, c.dataCentres), nil)
+				defer func() { stopAll(stops) }()
+				defer stopAll(stops)
+				time.Sleep(8 * time.Second)
+				want := hubNames(n.vms[name(0)])
+				assert.Equal(t, len(want), c.hubs)
+				total := 0.0
+				for _, g := range n.vms {
+					assert.DeepEqual(t, hubNames(g), want)
+					total += g.Share()
+				}
+				assert.Assert(t, total <= 1.001, "the VMs may send %.3f of what all may", total)
+			})
+		})
+	}
+}
+
+// TestDeadAreForgotten takes dead VMs out everywhere within the time after
+// which the directory must not name them, and chooses others to serve.
+func TestDeadAreForgotten(t *testing.T) {
+	const limit = 6 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		stops := n.fleet(t, uniform(30, 3), nil)
+		defer func() { stopAll(stops) }()
+		time.Sleep(8 * time.Second)
+		dead := hubNames(n.vms[name(0)])[:4]
+		n.mu.Lock()
+		for _, d := range dead {
+			n.cut[d] = true
+		}
+		n.mu.Unlock()
+		time.Sleep(limit)
+		for vm, g := range n.vms {
+			if n.cut[vm] {
+				continue
+			}
+			for _, hub := range g.Hubs() {
+				assert.Check(t, !n.cut[hub.Name], "%s still names %s", vm, hub.Name)
+			}
+			assert.Check(t, len(g.Hubs()) >= 9, "%s knows %d that serve", vm, len(g.Hubs()))
+		}
+		// More than are needed may step in; they step back.
+		time.Sleep(10 * time.Second)
+		for vm, g := range n.vms {
+			if !n.cut[vm] {
+				assert.Check(t, len(g.Hubs()) == 9, "%s knows %d that serve", vm, len(g.Hubs()))
+			}
+		}
+	})
+}
+
+// TestCutHeals joins two parts of a fleet that were cut off from each other.
+func TestCutHeals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		stops := n.fleet(t, uniform(12, 3), nil)
+		defer func() { stopAll(stops) }()
+		time.Sleep(5 * time.Second)
+		n.mu.Lock()
+		for i := range 5 {
+			n.cut[name(i)] = true
+		}
+		n.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		share := n.vms[name(0)].Share() + n.vms[name(8)].Share()
+		assert.Assert(t, share < 0.5, "cut off, two VMs take %.2f of what all may send", share)
+		n.mu.Lock()
+		clear(n.cut)
+		n.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		want := hubNames(n.vms[name(0)])
+		for _, g := range n.vms {
+			assert.DeepEqual(t, hubNames(g), want)
+		}
+	})
+}
+
+// TestRestarted lets a VM come back although its clock now shows an earlier
+// time than that of its first process.
+func TestRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		stops := n.fleet(t, uniform(6, 3), nil)
+		defer func() { stopAll(stops) }()
+		time.Sleep(3 * time.Second)
+		before := n.vms[name(2)]
+		stops[2]()
+		// The old process is replaced in the network by one with an older
+		// incarnation.
+		self := bluebelldoor.MemberState{Name: name(2), PeerAddress: name(2), DataCentre: "dc-2", Incarnation: 5}
+		g := gossiper.New(self, []string{name(0)}, steady{time.Now().Add(-time.Hour)}, from{n, name(2)}, gossiper.Hooks{
+			Describe: func(m *bluebelldoor.MemberState) { m.Ready = true },
+			Told:     func(bluebelldoor.MemberState) {},
+			News: func(context.Context, uint64) bluebelldoor.RecordNews {
+				return bluebelldoor.RecordNews{EvidenceAgeMs: -1}
+			},
+			Hear: func(context.Context, bluebelldoor.RecordNews, time.Duration, bool) {},
+		}, hclog.NewNullLogger())
+		n.mu.Lock()
+		n.vms[name(2)] = g
+		n.mu.Unlock()
+		stops[2] = g.Start()
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, before != g)
+		for vm, other := range n.vms {
+			assert.Equal(t, len(other.Alive()), 6, vm)
+		}
+	})
+}
+
+// TestBytes bounds what a VM that stands by sends and answers for control, as
+// the users' letter does: 5 KB a second.
+func TestBytes(t *testing.T) {
+	const limit, seconds = 5000, 20
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		specs := uniform(78, 4)
+		for i := range specs {
+			specs[i].cores = 0.192
+			if i < 8 {
+				specs[i].cores = 0.8
+			}
+		}
+		loads := make([]bluebelldoor.TargetLoad, 60)
+		for i := range loads {
+			loads[i] = bluebelldoor.TargetLoad{Target: fmt.Sprintf("i-%010d", i), Requests: 3, Tokens: 9000, Prefill: 3000}
+		}
+		stops := n.fleet(t, specs, loads)
+		defer func() { stopAll(stops) }()
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, len(n.vms[name(0)].Hubs()), 8)
+		n.mu.Lock()
+		clear(n.bytes)
+		n.mu.Unlock()
+		time.Sleep(seconds * time.Second)
+		n.mu.Lock()
+		for vm, sent := range n.bytes {
+			if !n.vms[vm].IsHub() {
+				assert.Check(t, sent/seconds < limit, "%s sends %d bytes a second", vm, sent/seconds)
+			}
+		}
+		n.mu.Unlock()
+	})
+}
+
+func TestNeeded(t *testing.T) {
+	hubs := func(n int, dataCentre string, cores, use float64) (out []bluebelldoor.MemberState) {
+		for i := range n {
+			out = append(out, bluebelldoor.MemberState{
+				Name: fmt.Sprintf("%s-%v-%d", dataCentre, cores, i), DataCentre: dataCentre,
+				Capacity: cores, Use: use, Hub: true, Ready: true,
+			})
+		}
+		return out
+	}
+	for name, c := range map[string]struct {
+		cores  float64
+		hub    bool
+		others []bluebelldoor.MemberState
+		needed bool
+	}{
+		"nobody else":                     {0.4, false, nil, true},
+		"two others":                      {0.4, false, hubs(2, "a", 0.5, 0.01), true},
+		"three others":                    {0.4, false, hubs(3, "a", 0.5, 0.01), false},
+		"three smaller ones":              {0.4, false, hubs(3, "a", 0.3, 0.01), true},
+		"three elsewhere":                 {0.4, false, hubs(3, "b", 0.5, 0.01), true},
+		"one much larger":                 {0.2, false, hubs(1, "a", 0.8, 0.01), true},
+		"two much larger":                 {0.2, false, hubs(2, "a", 0.8, 0.01), false},
+		"three with much work":            {0.4, false, hubs(3, "a", 0.5, 0.2), true},
+		"three with some work":            {0.4, false, hubs(3, "a", 0.5, 0.1), false},
+		"three with some work, serves":    {0.4, true, hubs(3, "a", 0.5, 0.1), true},
+		"three with little work, serves":  {0.4, true, hubs(3, "a", 0.5, 0.05), false},
+		"three, and much work in another": {0.4, false, append(hubs(3, "a", 0.5, 0.01), hubs(3, "b", 0.5, 0.3)...), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			self := bluebelldoor.MemberState{Name: "self", DataCentre: "a", Capacity: c.cores, Hub: c.hub, Ready: true}
+			assert.Equal(t, gossiper.Needed(self, c.others), c.needed)
+		})
+	}
+}
--- a/process/gossiper/hubs.go
+++ b/process/gossiper/hubs.go
@@ -1,81 +1,61 @@
 package gossiper
 
 import (
-	"slices"
-
 	"bluebelldoor"
 	"bluebelldoor/process/ranker"
 )
 
 const (
-	// hubsPerDataCentre is how many VMs of a data centre serve callers at
-	// least, if there are as many: the loss of one leaves two.
+	// hubsPerDataCentre is how many VMs of a data centre serve callers, if
+	// there are as many: the loss of one leaves two.
 	hubsPerDataCentre = 3
-	// smallest is the share of the largest VM's capacity below which a VM
-	// serves callers only where there are fewer than two larger ones.
-	smallest = 0.5
-	// fewestLarge is how many larger VMs are enough.
+	// large is how many times a VM's own capacity another has that counts as
+	// larger, and fewestLarge how many larger ones are enough.
+	large       = 2
 	fewestLarge = 2
 	// headroom is how many times the processor time in use the VMs that serve
-	// callers have together.
+	// callers have together; above plenty times, some step back.
 	headroom = 4
+	plenty   = 8
 )
 
-// Hubs returns the members that serve callers. They tell each other of every
-// placement, which more VMs could not; all others stand by, and serve whoever
-// comes to them. All members that see the same states choose the same.
-func Hubs(members []bluebelldoor.MemberState) []bluebelldoor.MemberState {
-	byDataCentre := map[string][]bluebelldoor.MemberState{}
-	use := 0.0
-	for _, m := range members {
+// serves reports whether a member says that it serves callers and can.
+func serves(m bluebelldoor.MemberState) bool { return m.Hub && m.Ready && !m.Leaving }
+
+// Needed reports whether a VM is needed among the others that serve callers.
+// Those few tell each other of every placement, which all could not; the rest
+// stand by, and serve whoever comes to them. Each VM decides for itself: it is
+// needed unless enough that go before it, larger ones first, do serve.
+func Needed(self bluebelldoor.MemberState, hubs []bluebelldoor.MemberState) bool {
+	near, larger, capacity, use := 0, 0, 0.0, self.Use
+	for _, m := range hubs {
 		use += m.Use
-		if m.Ready && !m.Leaving {
-			byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], m)
+		if !before(m, self) {
+			continue
 		}
-	}
-	var hubs, rest []bluebelldoor.MemberState
-	capacity := 0.0
-	for _, local := range byDataCentre {
-		rank(local)
-		n := enough(local)
-		for _, m := range local[:n] {
-			capacity += m.Capacity
+		capacity += m.Capacity
+		if m.DataCentre != self.DataCentre {
+			continue
 		}
-		hubs = append(hubs, local[:n]...)
-		rest = append(rest, local[n:]...)
-	}
-	rank(rest)
-	for _, m := range rest {
-		if capacity >= headroom*use {
-			break
+		near++
+		if m.Capacity > large*self.Capacity {
+			larger++
 		}
-		capacity += m.Capacity
-		hubs = append(hubs, m)
 	}
-	return hubs
-}
-
-// rank sorts members by falling capacity, then by rendezvous hashing.
-func rank(members []bluebelldoor.MemberState) {
-	slices.SortFunc(members, func(a, b bluebelldoor.MemberState) int {
-		switch {
-		case a.Capacity > b.Capacity:
-			return -1
-		case a.Capacity < b.Capacity:
-			return 1
-		case ranker.Score("hub", a.Name) > ranker.Score("hub", b.Name):
-			return -1
-		}
-		return 1
-	})
+	if near < hubsPerDataCentre && larger < fewestLarge {
+		return true
+	}
+	if self.Hub {
+		return capacity < plenty*use
+	}
+	return capacity < headroom*use
 }
 
-// enough returns how many of the ranked members of a data centre serve
-// callers.
-func enough(local []bluebelldoor.MemberState) int {
-	n := min(hubsPerDataCentre, len(local))
-	for n > fewestLarge && local[n-1].Capacity < smallest*local[0].Capacity {
-		n--
+// before reports whether a goes before b: by capacity, then by rendezvous
+// hashing.
+func before(a, b bluebelldoor.MemberState) bool {
+	if a.Capacity != b.Capacity {
+		return a.Capacity > b.Capacity
 	}
-	return n
+	return ranker.Score("hub", a.Name) > ranker.Score("hub", b.Name)
 }
--- a/process/gossiper/table.go
+++ b/process/gossiper/table.go
@@ -13,6 +13,9 @@
 	// that was news: several rounds, and well under the time after which the
 	// directory must not name the dead.
 	aliveFor = 2500 * time.Millisecond
+	// standbyFor is the same for a member that stands by, of which most hear
+	// only when the VMs that serve tell each other of all.
+	standbyFor = 4 * time.Second
 	// forgetAfter is how long a dead member is kept: old news of it must not
 	// bring it back, and a VM that is cut off must not take the others' part
 	// of what all may send.
@@ -25,6 +28,13 @@
 	heard time.Duration
 }
 
+func (m *member) alive(now time.Duration) bool {
+	if m.state.Hub {
+		return now-m.heard <= aliveFor
+	}
+	return now-m.heard <= standbyFor
+}
+
 // Table holds the members that one VM knows. It is not safe for concurrent
 // use.
 type Table struct {
@@ -98,7 +108,7 @@
 		switch silent := now - m.heard; {
 		case silent > forgetAfter:
 			delete(t.members, name)
-		case silent > aliveFor:
+		case !m.alive(now):
 			out = append(out, m.state)
 		}
 	}
@@ -113,7 +123,7 @@
 func (t *Table) Alive(now time.Duration) []bluebelldoor.MemberState {
 	out := []bluebelldoor.MemberState{t.self}
 	for _, m := range t.members {
-		if now-m.heard <= aliveFor {
+		if m.alive(now) {
 			out = append(out, m.state)
 		}
 	}
--- /dev/null
+++ b/process/turner/turner_test.go
@@ -0,0 +1,120 @@
+package turner_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bluebelldoor"
+	"bluebelldoor/process/turner"
+)
+
+// peers joins turners without a network; an address is a VM's name.
+type peers map[string]*turner.Turner
+
+func (p peers) Exchange(context.Context, string, *bluebelldoor.ExchangeMessage) (*bluebelldoor.ExchangeMessage, error) {
+	panic("not asked")
+}
+
+func (p peers) Turn(ctx context.Context, address string, in *bluebelldoor.TurnRequest) (*bluebelldoor.TurnReply, error) {
+	if p[address] == nil {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return p[address].Turn(ctx, in), nil
+}
+
+func fleet(names ...string) peers {
+	p := peers{}
+	var members []bluebelldoor.MemberState
+	for _, name := range names {
+		members = append(members, bluebelldoor.MemberState{Name: name, PeerAddress: name})
+	}
+	for _, name := range names {
+		p[name] = turner.New(name, p, func() []bluebelldoor.MemberState { return members })
+	}
+	return p
+}
+
+// TestSmallestFirst lets three VMs copy off one engine that leaves: one copy at
+// a time, the smallest first.
+func TestSmallestFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := fleet("a", "b", "c")
+		var mu sync.Mutex
+		var order []string
+		busy := 0
+		var wg sync.WaitGroup
+		for name, tokens := range map[string]int{"a": 5000, "b": 3000, "c": 4000} {
+			wg.Go(func() {
+				release := p[name].Acquire(t.Context(), "engine", "request-"+name, tokens)
+				mu.Lock()
+				order = append(order, name)
+				busy++
+				assert.Check(t, busy == 1, "two copies at once")
+				mu.Unlock()
+				time.Sleep(200 * time.Millisecond)
+				mu.Lock()
+				busy--
+				mu.Unlock()
+				release()
+			})
+		}
+		wg.Wait()
+		assert.DeepEqual(t, order, []string{"b", "c", "a"})
+	})
+}
+
+// TestHolderDies gives the turn on after the lease of a VM that never gives it
+// back.
+func TestHolderDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := fleet("a", "b")
+		p["a"].Acquire(t.Context(), "engine", "one", 1)
+		began := time.Now()
+		release := p["b"].Acquire(t.Context(), "engine", "two", 1)
+		waited := time.Since(began)
+		assert.Assert(t, waited > time.Second && waited < 2*time.Second, "waited %s", waited)
+		release()
+	})
+}
+
+// TestGrantorSilent copies without a turn where the VM that grants it is cut
+// off.
+func TestGrantorSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := fleet("a", "b")
+		delete(p, "b")
+		for _, engine := range []string{"e1", "e2", "e3", "e4"} {
+			release := turnOf(p, "a").Acquire(t.Context(), engine, "one", 1)
+			release()
+		}
+	})
+}
+
+func turnOf(p peers, name string) *turner.Turner { return p[name] }
+
+// TestTryAcquire gives the way into an engine to one copy at a time, and
+// refuses others at once.
+func TestTryAcquire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := fleet("a", "b", "c")
+		release, ok := p["a"].TryAcquire(t.Context(), "engine", "one")
+		assert.Assert(t, ok)
+		began := time.Now()
+		_, ok = p["b"].TryAcquire(t.Context(), "engine", "two")
+		assert.Assert(t, !ok)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		other, ok := p["b"].TryAcquire(t.Context(), "engine-2", "two")
+		assert.Assert(t, ok)
+		other()
+		release()
+		release, ok = p["c"].TryAcquire(t.Context(), "engine", "three")
+		assert.Assert(t, ok)
+		release()
+	})
+}
--- a/version/parser/finding.go
+++ b/version/parser/finding.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
@@ -81,6 +82,11 @@
 	c.at(c.position[field], field, code, format, args...)
 }
 
+// without drops the findings with a code.
+func (c *collector) without(code bluebelldoor.Code) {
+	c.found = slices.DeleteFunc(c.found, func(f Finding) bool { return f.code == code })
+}
+
 // err returns the findings in text order, nil if there are none.
 func (c *collector) err() error {
 	if len(c.found) == 0 {
--- a/version/parser/relay.go
+++ b/version/parser/relay.go
@@ -6,7 +6,7 @@
 	"bluebelldoor"
 )
 
-var relaySchema = schema{kind: object, fields: map[string]schema{
+var relaySchema = schema{kind: object, open: true, fields: map[string]schema{
 	"name":             schema{kind: name}.must(),
 	"dataCentre":       schema{kind: name}.must(),
 	"callerAddress":    schema{kind: address}.must(),
--- a/version/parser/schema.go
+++ b/version/parser/schema.go
@@ -39,6 +39,9 @@
 	item     *schema
 	min, max int64
 	oneOf    []string
+	// open tells, of a whole text, that fields which are not known are passed
+	// over: the text may be written for a newer program.
+	open bool
 }
 
 func (s schema) must() schema {
@@ -224,6 +227,9 @@
 	}
 	value.UpdateOffsets()
 	c.walk("", value, s)
+	if s.open {
+		c.without(bluebelldoor.UnknownField)
+	}
 	if err := c.err(); err != nil {
 		return err
 	}
