Refuse long generations that no engine can begin in time; callers stay near

Cause 3, found by the test of the first: requests on one VM that arrive in the same millisecond did not see each other, since the load was noted after the choice; both are one step now.

--- a/code.go
+++ b/code.go
@@ -34,6 +34,7 @@
 	ColdTargets     Code = 208
 	NoWitness       Code = 209
 	RetryBudget     Code = 210
+	EnginesCrowded  Code = 211
 
 	TargetLost      Code = 301
 	AnswerTruncated Code = 302
@@ -93,6 +94,7 @@
 	ColdTargets:       {"coldTargets", 503, "the targets are cold and this VM holds no free slot"},
 	NoWitness:         {"noWitness", 503, "the key's witness did not confirm; the key is dead"},
 	RetryBudget:       {"retryBudget", 503, "the retry budget is used up"},
+	EnginesCrowded:    {"enginesCrowded", 503, "no engine could begin the generation in time"},
 	TargetLost:        {"targetLost", 502, "the target was lost after tokens were delivered"},
 	AnswerTruncated:   {"answerTruncated", 502, "the target's answer ended early"},
 	OutcomeUnknown:    {"outcomeUnknown", 502, "the call may or may not have run"},
--- a/connection/acceptor/acceptor.go
+++ b/connection/acceptor/acceptor.go
@@ -68,7 +68,7 @@
 func (a *Acceptor) Busy() int { return int(a.busy.Load()) }
 
 func (a *Acceptor) stop() {
-	a.listener.Close()
+	_ = a.listener.Close() // nothing listens after this either way
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for c := range a.conns {
--- a/connection/exchanger/exchanger_test.go
+++ b/connection/exchanger/exchanger_test.go
@@ -25,7 +25,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	t.Cleanup(func() { l.Close() })
+	t.Cleanup(func() { _ = l.Close() })
 	requests := &atomic.Int64{}
 	go func() {
 		for {
@@ -209,7 +209,7 @@
 func TestEarly(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	go func() {
 		conn, err := l.Accept()
 		if err != nil {
--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -74,7 +74,7 @@
 func name(i int) string { return fmt.Sprintf("vm-%02d", i) }
 
 // begin starts a VM; its address is its name.
-func (n *network) begin(t *testing.T, i int, s spec, seeds []string, loads []bluebelldoor.TargetLoad) func() {
+func (n *network) begin(i int, s spec, seeds []string, loads []bluebelldoor.TargetLoad) func() {
 	self := bluebelldoor.MemberState{
 		Name: name(i), PeerAddress: name(i), CallerAddress: name(i), DataCentre: s.dataCentre,
 		Incarnation: time.Now().UnixMilli(), Capacity: s.cores,
@@ -97,7 +97,7 @@
 	return &network{vms: map[string]*gossiper.Gossiper{}, cut: map[string]bool{}, bytes: map[string]int{}}
 }
 
-func (n *network) fleet(t *testing.T, specs []spec, loads []bluebelldoor.TargetLoad) []func() {
+func (n *network) fleet(specs []spec, loads []bluebelldoor.TargetLoad) []func() {
 	var stops []func()
 	seeds := []string{name(0), name(len(specs) / 3), name(2 * len(specs) / 3)}
 	for i, s := range specs {
@@ -105,7 +105,7 @@
 			// What a VM that stands by has on targets is little.
 			loads = loads[:min(len(loads), 2)]
 		}
-		stops = append(stops, n.begin(t, i, s, seeds, loads))
+		stops = append(stops, n.begin(i, s, seeds, loads))
 	}
 	return stops
 }
@@ -154,7 +154,7 @@
 		t.Run(label, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				n := newNetwork()
-				stops := n.fleet(t, uniform(c.n, c.dataCentres), nil)
+				stops := n.fleet(uniform(c.n, c.dataCentres), nil)
 				defer func() { stopAll(stops) }()
 				defer stopAll(stops)
 				time.Sleep(8 * time.Second)
@@ -177,7 +177,7 @@
 	const limit = 6 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
-		stops := n.fleet(t, uniform(30, 3), nil)
+		stops := n.fleet(uniform(30, 3), nil)
 		defer func() { stopAll(stops) }()
 		time.Sleep(8 * time.Second)
 		dead := hubNames(n.vms[name(0)])[:4]
@@ -216,7 +216,7 @@
 func TestCutHeals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
-		stops := n.fleet(t, uniform(12, 3), nil)
+		stops := n.fleet(uniform(12, 3), nil)
 		defer func() { stopAll(stops) }()
 		time.Sleep(5 * time.Second)
 		n.mu.Lock()
@@ -243,7 +243,7 @@
 func TestRestarted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
-		stops := n.fleet(t, uniform(6, 3), nil)
+		stops := n.fleet(uniform(6, 3), nil)
 		defer func() { stopAll(stops) }()
 		time.Sleep(3 * time.Second)
 		before := n.vms[name(2)]
@@ -288,7 +288,7 @@
 		for i := range loads {
 			loads[i] = bluebelldoor.TargetLoad{Target: fmt.Sprintf("i-%010d", i), Requests: 3, Tokens: 9000, Prefill: 3000}
 		}
-		stops := n.fleet(t, specs, loads)
+		stops := n.fleet(specs, loads)
 		defer func() { stopAll(stops) }()
 		time.Sleep(8 * time.Second)
 		assert.Equal(t, len(n.vms[name(0)].Hubs()), 8)
--- a/process/runner/ports_test.go
+++ b/process/runner/ports_test.go
@@ -22,7 +22,7 @@
 	for range lastPort - firstPort {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%(lastPort-firstPort))
 		if l, err := net.Listen("tcp", address); err == nil {
-			l.Close()
+			_ = l.Close()
 			return address
 		}
 	}
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -40,6 +40,9 @@
 	// oldAddressTimes is how many times an answer's validity callers may use
 	// it, as the slowest of them do.
 	oldAddressTimes = 3
+	// fewestNear is how many VMs of a caller's own data centre are enough to
+	// name no others.
+	fewestNear = 2
 	// readers is how many VMs read the platform for all: a second one, so that
 	// the loss of one delays nothing.
 	readers = 2
@@ -220,10 +223,21 @@
 		ranker.First("reader", byDataCentre[r.settings.DataCentre]) == r.settings.Name
 }
 
-// entry names the VMs that a caller may use: those that serve, or else all
-// that are ready.
-func (r *Relay) entry(string) ([]string, time.Duration) {
-	out := r.addresses(r.gossiper.Hubs())
+// entry names the VMs that a caller may use: those that serve in its own data
+// centre, if there are two at least, so that its requests cross no link between
+// data centres; else all that serve, or else all that are ready.
+func (r *Relay) entry(dataCentre string) ([]string, time.Duration) {
+	hubs := r.gossiper.Hubs()
+	var near []bluebelldoor.MemberState
+	for _, m := range hubs {
+		if m.DataCentre == dataCentre {
+			near = append(near, m)
+		}
+	}
+	out := r.addresses(near)
+	if len(out) < fewestNear {
+		out = r.addresses(hubs)
+	}
 	if len(out) == 0 {
 		out = r.addresses(r.gossiper.Alive())
 	}
--- a/process/runner/relay_test.go
+++ b/process/runner/relay_test.go
@@ -66,14 +66,16 @@
 		"routes": []any{
 			route(toSafe, "safe", "app", nil),
 			route(toUnsafe, "unsafe", "app", map[string]any{"max_attempts": 1}),
-			route(toStream, "streaming", "engine", map[string]any{"max_attempts": 1, "affinity": true, "timeout_ms": 20000}),
+			route(toStream, "streaming", "engine", map[string]any{"max_attempts": 1, "affinity": true, "timeout_ms": 20000, "slo_ms": 10000}),
 			route(toResume, "streaming", "engine", map[string]any{"affinity": true, "stream_resume": true, "timeout_ms": 20000}),
 			route("/public/", "safe", "app", map[string]any{"public": true}),
 		},
 		"services": []any{
 			map[string]any{"name": "app", "health_path": "/health", "max_conns": 50},
-			map[string]any{"name": "engine", "health_path": "/health", "max_conns": 50, "cold_s": 1, "cold_per_s": 25,
-				"engine": map[string]any{"slots": 24, "kv_capacity": 34000, "kv_token_bytes": 1000, "link_mbps": 1000, "moves": true, "stride": 1}},
+			map[string]any{
+				"name": "engine", "health_path": "/health", "max_conns": 50, "cold_s": 1, "cold_per_s": 25,
+				"engine": map[string]any{"slots": 24, "kv_capacity": 34000, "kv_token_bytes": 1000, "link_mbps": 1000, "moves": true, "stride": 1},
+			},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{map[string]any{"name": "account-1", "api_keys": keys}},
@@ -623,3 +625,42 @@
 	oneRun(t, <-running, 120)
 	assert.Equal(t, <-drained, 0)
 }
+
+// TestRelayCrowded refuses long generations at once when the engines are full,
+// tells when to come back, and does not refuse those that have come back.
+func TestRelayCrowded(t *testing.T) {
+	f := startRelays(t, 1)
+	engine := f.yard.Add("engine-1", "engine", "dc-0")
+	defer engine.Stop()
+	app := f.yard.Add("app-1", "app", "dc-0")
+	defer app.Stop()
+	f.settle(t)
+	vm := f.vms[0]
+	engine.Acts(func(*http.Request) lender.Act { return lender.Slow })
+	const running = 3
+	full := make(chan answer, running)
+	for i := range running {
+		go func() {
+			full <- vm.ask(t, "POST", toStream, fmt.Sprintf("full-%d", i), map[string]string{"Token-Count": "11000,300", "Length-Hint": "500", "Deadline-Ms": "20000"})
+		}()
+	}
+	await(t, "the engine is full", func() bool {
+		return len(f.yard.Runs("full-0"))+len(f.yard.Runs("full-1"))+len(f.yard.Runs("full-2")) == running
+	})
+	long := map[string]string{"Token-Count": "4000,300", "Length-Hint": "500", "Deadline-Ms": "20000"}
+	got := vm.ask(t, "POST", toStream, "refused", long)
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, got.took < 200*time.Millisecond)
+	assert.Equal(t, len(f.yard.Runs("refused")), 0)
+	var after float64
+	_, err := fmt.Sscan(got.header.Get("Retry-After"), &after)
+	assert.NilError(t, err)
+	assert.Assert(t, after > 1 && after <= 20.0/3, "come back after %v of 20 s", after)
+	short := map[string]string{"Token-Count": "1000,3", "Length-Hint": "3", "Deadline-Ms": "20000"}
+	assert.Equal(t, vm.ask(t, "POST", toStream, "short", short).status, 200)
+	long["Deadline-Ms"] = "13000"
+	assert.Equal(t, vm.ask(t, "POST", toStream, "came-back", long).status, 200)
+	for range running {
+		<-full
+	}
+}
--- a/request/placer/load_test.go
+++ b/request/placer/load_test.go
@@ -25,6 +25,7 @@
 	readPerMs = 14   // prompt tokens
 	perToken  = 8    // ms a generated token
 	memory    = 34e3 // tokens
+	testVMs   = 6
 )
 
 // event is something that happens to the fleet at a time.
@@ -44,9 +45,9 @@
 	tell    time.Duration
 }
 
-func newFleet(seed uint64, vms, engines int, tell time.Duration) *fleet {
+func newFleet(seed uint64, engines int, tell time.Duration) *fleet {
 	f := &fleet{random: rand.New(rand.NewPCG(seed, 7)), tell: tell}
-	for range vms {
+	for range testVMs {
 		f.ledgers = append(f.ledgers, placer.NewLedger())
 	}
 	for i := range engines {
@@ -92,8 +93,10 @@
 
 // arrive lets a generation arrive at a VM.
 func (f *fleet) arrive(vm, prompt, output int, choose chooser, now time.Duration) {
-	demand := placer.Demand{Tokens: prompt + output, DataCentre: f.engines[vm%3].instance.DataCentre, ColdPerSecond: -1,
-		Engine: &bluebelldoor.EngineKind{MemoryTokens: memory}}
+	demand := placer.Demand{
+		Tokens: prompt + output, DataCentre: f.engines[vm%3].instance.DataCentre, ColdPerSecond: -1,
+		Engine: &bluebelldoor.EngineKind{MemoryTokens: memory},
+	}
 	e := f.engines[choose(f, vm, demand, now)]
 	stay := f.ledgers[vm].Start(e.instance.ID, demand.Tokens, prompt)
 	f.told(vm, now)
@@ -157,12 +160,12 @@
 func TestHerd(t *testing.T) {
 	const objective = 1500 * time.Millisecond
 	for seed := range uint64(5) {
-		told := newFleet(seed, 6, 18, time.Millisecond)
+		told := newFleet(seed, 18, time.Millisecond)
 		told.reports(16.6, 60*time.Second, byLedger)
 		assert.Check(t, told.share(objective) >= 0.995, "seed %d: %.4f in time", seed, told.share(objective))
-		lagging := newFleet(seed, 6, 18, 500*time.Millisecond)
+		lagging := newFleet(seed, 18, 500*time.Millisecond)
 		lagging.reports(16.6, 60*time.Second, byLedger)
-		naive := newFleet(seed, 6, 18, time.Millisecond)
+		naive := newFleet(seed, 18, time.Millisecond)
 		naive.reports(16.6, 60*time.Second, atRandom)
 		late := func(f *fleet) float64 { return 1 - f.share(500*time.Millisecond) }
 		assert.Check(t, late(told) < late(lagging)/2, "seed %d: over half a second: told %.4f, lagging %.4f", seed, late(told), late(lagging))
@@ -174,9 +177,9 @@
 // memory is spread, so that generations do not push each other out.
 func TestCrowdedMemory(t *testing.T) {
 	for seed := range uint64(5) {
-		f := newFleet(seed, 6, 12, time.Millisecond)
+		f := newFleet(seed, 12, time.Millisecond)
 		f.reports(16, 60*time.Second, byLedger)
-		naive := newFleet(seed, 6, 12, time.Millisecond)
+		naive := newFleet(seed, 12, time.Millisecond)
 		naive.reports(16, 60*time.Second, atRandom)
 		assert.Check(t, f.over*10 <= naive.over, "seed %d: %d without memory, at random %d", seed, f.over, naive.over)
 	}
@@ -186,7 +189,7 @@
 // some seconds: the prompts that wait are spread evenly.
 func TestBurst(t *testing.T) {
 	for seed := range uint64(5) {
-		f := newFleet(seed, 6, 18, time.Millisecond)
+		f := newFleet(seed, 18, time.Millisecond)
 		f.reports(28.2, 8*time.Second, byLedger)
 		assert.Check(t, f.share(1500*time.Millisecond) >= 0.99, "seed %d: %.4f in time", seed, f.share(1500*time.Millisecond))
 	}
@@ -206,48 +209,73 @@
 		want    int
 	}{
 		"emptier": {
-			placer.Candidate{Instance: instance("a", "x")}, placer.Candidate{Instance: instance("b", "x")},
-			func(l *placer.Ledger) { l.Start("a", 9000, 0) }, placer.Demand{Tokens: 4000, Engine: kind}, 1,
+			placer.Candidate{Instance: instance("a", "x")},
+			placer.Candidate{Instance: instance("b", "x")},
+			func(l *placer.Ledger) { l.Start("a", 9000, 0) },
+			placer.Demand{Tokens: 4000, Engine: kind},
+			1,
 		},
 		"a peer's load counts": {
-			placer.Candidate{Instance: instance("a", "x")}, placer.Candidate{Instance: instance("b", "x")},
+			placer.Candidate{Instance: instance("a", "x")},
+			placer.Candidate{Instance: instance("b", "x")},
 			func(l *placer.Ledger) {
 				l.Peer("vm", []bluebelldoor.TargetLoad{{Target: "b", Requests: 3, Tokens: 9000}}, 0)
-			}, placer.Demand{Tokens: 4000, Engine: kind}, 0,
+			},
+			placer.Demand{Tokens: 4000, Engine: kind},
+			0,
 		},
 		"prompts that wait weigh more than memory": {
-			placer.Candidate{Instance: instance("a", "x")}, placer.Candidate{Instance: instance("b", "x")},
-			func(l *placer.Ledger) { l.Start("a", 6000, 6000); l.Start("b", 12000, 0) }, placer.Demand{Tokens: 4000, Engine: kind}, 1,
+			placer.Candidate{Instance: instance("a", "x")},
+			placer.Candidate{Instance: instance("b", "x")},
+			func(l *placer.Ledger) { l.Start("a", 6000, 6000); l.Start("b", 12000, 0) },
+			placer.Demand{Tokens: 4000, Engine: kind},
+			1,
 		},
 		"a copy is not read": {
-			placer.Candidate{Instance: instance("a", "x")}, placer.Candidate{Instance: instance("b", "x")},
+			placer.Candidate{Instance: instance("a", "x")},
+			placer.Candidate{Instance: instance("b", "x")},
 			func(l *placer.Ledger) { l.Start("a", 6000, 6000); l.Start("b", 22000, 0) },
-			placer.Demand{Tokens: 4000, Engine: kind, Copied: true, DataCentre: "x"}, 0,
+			placer.Demand{Tokens: 4000, Engine: kind, Copied: true, DataCentre: "x"},
+			0,
 		},
 		"a copy stays near": {
-			placer.Candidate{Instance: instance("a", "y")}, placer.Candidate{Instance: instance("b", "x")},
+			placer.Candidate{Instance: instance("a", "y")},
+			placer.Candidate{Instance: instance("b", "x")},
 			func(l *placer.Ledger) { l.Start("b", 12000, 0) },
-			placer.Demand{Tokens: 4000, Engine: kind, Copied: true, DataCentre: "x"}, 1,
+			placer.Demand{Tokens: 4000, Engine: kind, Copied: true, DataCentre: "x"},
+			1,
 		},
 		"memory that would not do": {
-			placer.Candidate{Instance: instance("a", "x")}, placer.Candidate{Instance: instance("b", "x")},
-			func(l *placer.Ledger) { l.Start("a", 32000, 0); l.Start("b", 9000, 3000) }, placer.Demand{Tokens: 6000, Engine: kind}, 1,
+			placer.Candidate{Instance: instance("a", "x")},
+			placer.Candidate{Instance: instance("b", "x")},
+			func(l *placer.Ledger) { l.Start("a", 32000, 0); l.Start("b", 9000, 3000) },
+			placer.Demand{Tokens: 6000, Engine: kind},
+			1,
 		},
 		"warm before cold": {
-			placer.Candidate{Instance: instance("a", "x"), Cold: true}, placer.Candidate{Instance: instance("b", "x")},
-			func(*placer.Ledger) {}, placer.Demand{Tokens: 6000, Engine: kind, ColdPerSecond: 5}, 1,
+			placer.Candidate{Instance: instance("a", "x"), Cold: true},
+			placer.Candidate{Instance: instance("b", "x")},
+			func(*placer.Ledger) {},
+			placer.Demand{Tokens: 6000, Engine: kind, ColdPerSecond: 5},
+			1,
 		},
 		"a failing target": {
-			placer.Candidate{Instance: instance("a", "x")}, placer.Candidate{Instance: instance("b", "x")},
+			placer.Candidate{Instance: instance("a", "x")},
+			placer.Candidate{Instance: instance("b", "x")},
 			func(l *placer.Ledger) {
 				for range 5 {
 					l.Outcome("b", true)
 				}
-			}, placer.Demand{}, 0,
+			},
+			placer.Demand{},
+			0,
 		},
 		"a lapsed entry": {
-			placer.Candidate{Instance: instance("a", "x"), Lapsed: true}, placer.Candidate{Instance: instance("b", "x")},
-			func(l *placer.Ledger) { l.Start("b", 9000, 0) }, placer.Demand{Tokens: 6000, Engine: kind}, 1,
+			placer.Candidate{Instance: instance("a", "x"), Lapsed: true},
+			placer.Candidate{Instance: instance("b", "x")},
+			func(l *placer.Ledger) { l.Start("b", 9000, 0) },
+			placer.Demand{Tokens: 6000, Engine: kind},
+			1,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -291,3 +319,24 @@
 	cold := []placer.Candidate{{Instance: instance("a", "x"), Cold: true}}
 	assert.Equal(t, l.Pick(cold, placer.Demand{ColdPerSecond: 0.5}, 0, func() float64 { return 0 }).Index, -1)
 }
+
+// TestCrowded names the pattern of more long generations than the engines can
+// hold: they are refused at once, not left to wait until they are late.
+func TestCrowded(t *testing.T) {
+	const objective = 1800 * time.Millisecond
+	for name, c := range map[string]struct {
+		choice  placer.Choice
+		crowded bool
+	}{
+		"idle":                     {placer.Choice{Share: 0.1}, false},
+		"nearly full":              {placer.Choice{Share: 1.0}, false},
+		"full":                     {placer.Choice{Share: 1.2}, true},
+		"prompts of half a second": {placer.Choice{Share: 0.5, Prefill: 5000}, false},
+		"prompts of two seconds":   {placer.Choice{Share: 0.5, Prefill: 20000}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, crowded := c.choice.Crowded(objective)
+			assert.Equal(t, crowded, c.crowded)
+		})
+	}
+}
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -15,9 +15,9 @@
 	// engines read about that many in a quarter of a second.
 	prefillUnit = 3500
 	// awayCost weighs a target in another data centre.
-	awayCost = 0.03
+	awayCost = 0.15
 	// awayCopyCost weighs a copy to another data centre.
-	awayCopyCost = 1.5
+	awayCopyCost = 4
 	// coldCost weighs a target that is still cold.
 	coldCost = 0.5
 	// failureCost weighs a target all of whose answers are failures beyond
@@ -34,6 +34,18 @@
 	jitter = 0.05
 )
 
+const (
+	// readPerSecond is how many tokens of prompts an engine reads in a second,
+	// beside the generations that run.
+	readPerSecond = 10_000
+	// fullShare is the part of an engine's memory above which a generation
+	// would wait for others to end, or push them out.
+	fullShare = 1.1
+	// objectivePart is the part of a route's objective that the prompts before
+	// a generation may take.
+	objectivePart = 0.7
+)
+
 // Candidate is a target that may be used.
 type Candidate struct {
 	Instance *bluebelldoor.Instance
@@ -65,10 +77,20 @@
 	Full bool
 	// Requests, Tokens and Prefill are what it is thought to have.
 	Requests, Tokens, Prefill int
+	// Share is the part of its memory that would come to be needed.
+	Share float64
 	// Failures is its share of failed answers.
 	Failures float64
 }
 
+// Crowded reports whether a long generation could not begin in time even at
+// the chosen candidate, and how long the prompts before it take.
+func (c Choice) Crowded(objective time.Duration) (time.Duration, bool) {
+	wait := time.Duration(float64(c.Prefill) / readPerSecond * float64(time.Second))
+	limit := time.Duration(float64(objective) * objectivePart)
+	return wait, c.Share > fullShare || limit > 0 && wait > limit
+}
+
 // Pick chooses the candidate with the lowest cost at now. random returns
 // numbers from 0 to 1.
 func (l *Ledger) Pick(candidates []Candidate, d Demand, now time.Duration, random func() float64) Choice {
@@ -87,6 +109,9 @@
 				Index: i, Cost: cost, Full: full,
 				Requests: sum.requests, Tokens: sum.tokens, Prefill: sum.prefill, Failures: l.failures[c.Instance.ID],
 			}
+			if d.Engine != nil {
+				best.Share = float64(sum.tokens+d.Tokens) / float64(max(1, d.Engine.MemoryTokens))
+			}
 		}
 	}
 	return best
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -270,12 +270,12 @@
 // run sends the request until it has a final answer.
 func (j *job) run() {
 	for {
-		target, refusal := j.place()
+		target, stay, refusal := j.place()
 		if refusal != nil {
 			j.refuse(refusal)
 			return
 		}
-		if done := j.try(target); done {
+		if done := j.try(target, stay); done {
 			return
 		}
 		if j.ctx.Err() != nil {
@@ -316,33 +316,51 @@
 
 // expected returns how many tokens the generation is expected to make.
 func (j *job) expected() int {
-	if n := j.request.ExpectedTokens; n > 0 {
-		return min(n, max(n, j.request.MaxTokens))
+	switch hint, most := j.request.ExpectedTokens, j.request.MaxTokens; {
+	case hint == 0:
+		return most / 2
+	case most == 0:
+		return hint
+	default:
+		return min(hint, most)
 	}
-	return j.request.MaxTokens / 2
 }
 
-// place chooses a target for the request.
-func (j *job) place() (*registrar.Target, *bluebelldoor.Refusal) {
+// place chooses a target for the request and notes the request there, so that
+// the next one that is placed sees it.
+func (j *job) place() (*registrar.Target, *placer.Stay, *bluebelldoor.Refusal) {
 	now := j.clock.Now()
 	targets, candidates := j.candidates(now)
 	if len(targets) == 0 {
-		return nil, bluebelldoor.Refuse(bluebelldoor.NoTarget, "no target of the service may take work").WithRetryAfter(comeBack)
+		return nil, nil, bluebelldoor.Refuse(bluebelldoor.NoTarget, "no target of the service may take work").WithRetryAfter(comeBack)
 	}
-	j.mu.Lock()
-	choice := j.ledger.Pick(candidates, j.demand(), now, rand.Float64)
-	if choice.Index >= 0 && candidates[choice.Index].Cold {
-		j.ledger.SentCold(candidates[choice.Index].Instance.ID, now)
-	}
-	j.mu.Unlock()
-	if choice.Index < 0 {
-		return nil, bluebelldoor.Refuse(bluebelldoor.ColdTargets, "all targets are cold and have what they bear").WithRetryAfter(comeBack)
+	demand := j.demand()
+	choice, stay, refusal := j.reserve(candidates, demand, now)
+	if refusal != nil {
+		return nil, nil, refusal
 	}
 	t := targets[choice.Index]
 	j.log.Info("target chosen", "id", j.request.ID, "target", t.ID, "dataCentre", t.DataCentre, "of", len(targets),
 		"cost", round(choice.Cost), "requests", choice.Requests, "tokens", choice.Tokens, "prefill", choice.Prefill,
 		"failures", round(choice.Failures), "coldMs", max(0, t.ColdUntil-now).Milliseconds(), "full", choice.Full)
-	return t, nil
+	return t, stay, nil
+}
+
+func (j *job) reserve(candidates []placer.Candidate, demand placer.Demand, now time.Duration) (placer.Choice, *placer.Stay, *bluebelldoor.Refusal) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	choice := j.ledger.Pick(candidates, demand, now, rand.Float64)
+	if choice.Index < 0 {
+		return choice, nil, bluebelldoor.Refuse(bluebelldoor.ColdTargets, "all targets are cold and have what they bear").WithRetryAfter(comeBack)
+	}
+	if refusal := j.crowded(choice); refusal != nil {
+		return choice, nil, refusal
+	}
+	chosen := candidates[choice.Index]
+	if chosen.Cold {
+		j.ledger.SentCold(chosen.Instance.ID, now)
+	}
+	return choice, j.ledger.Start(chosen.Instance.ID, demand.Tokens, j.request.PromptTokens), nil
 }
 
 // round keeps three decimals, for log lines.
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"bluebelldoor"
 	"bluebelldoor/connection/exchanger"
 	"bluebelldoor/process/registrar"
@@ -141,7 +143,7 @@
 				return failed
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			if rest := s.events.partial; len(rest) > 0 {
 				if failed := s.job.call.Write(rest); failed != nil {
 					return failed
@@ -172,8 +174,10 @@
 	if s.first > 0 {
 		first = s.first - s.job.arrived
 	}
-	return []any{"target", s.target.ID, "events", s.made, "lastEvent", s.events.lastID,
-		"firstMs", first.Milliseconds(), "longestPauseMs", s.pause.Milliseconds(), "pauseBefore", s.pauseAfter}
+	return []any{
+		"target", s.target.ID, "events", s.made, "lastEvent", s.events.lastID,
+		"firstMs", first.Milliseconds(), "longestPauseMs", s.pause.Milliseconds(), "pauseBefore", s.pauseAfter,
+	}
 }
 
 func (s *stream) pass(part []byte, stay *placer.Stay) error {
@@ -291,7 +295,7 @@
 	j := s.job
 	j.excluded[s.target.ID] = true
 	for j.mayRepeat() {
-		t, refusal := j.place()
+		t, stay, refusal := j.place()
 		if refusal != nil {
 			j.log.Info("stream not resumed", "id", j.request.ID, "why", refusal.Error())
 			return nil, nil
@@ -300,9 +304,6 @@
 		if after == "" {
 			after = j.request.ResumeAfter
 		}
-		j.mu.Lock()
-		stay := j.ledger.Start(t.ID, j.demand().Tokens, j.request.PromptTokens)
-		j.mu.Unlock()
 		answer, err := j.Targets.Send(j.ctx, t.Instance, j.outgoing(t, after, ""))
 		if err == nil && answer.Response().StatusCode == 200 {
 			j.runs++
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -9,6 +9,7 @@
 	"bluebelldoor"
 	"bluebelldoor/connection/exchanger"
 	"bluebelldoor/process/registrar"
+	"bluebelldoor/request/placer"
 )
 
 // maxBuffered is the size up to which an answer is read whole before the
@@ -23,10 +24,7 @@
 
 // try sends the request to a target, and reports whether the caller has its
 // final answer.
-func (j *job) try(t *registrar.Target) bool {
-	j.mu.Lock()
-	stay := j.ledger.Start(t.ID, j.demand().Tokens, j.request.PromptTokens)
-	j.mu.Unlock()
+func (j *job) try(t *registrar.Target, stay *placer.Stay) bool {
 	defer j.end(stay)
 	if j.route.Generates {
 		j.sources.Placed()
@@ -122,7 +120,7 @@
 func (j *job) notRun(t *registrar.Target, answer *exchanger.Answer) bool {
 	j.unrun++
 	status := answer.Response().StatusCode
-	if _, err := io.CopyN(io.Discard, answer, maxBuffered); err != nil && err != io.EOF {
+	if _, err := io.CopyN(io.Discard, answer, maxBuffered); err != nil && !errors.Is(err, io.EOF) {
 		j.log.Debug("refusal not read to its end", "id", j.request.ID, "target", t.ID, "error", err)
 	}
 	if status == http.StatusBadRequest {
@@ -182,9 +180,8 @@
 		if err = j.call.Write(buffer[:n]); err != nil {
 			break
 		}
-		if failed == io.EOF {
-			err = j.call.Finish()
-			j.note("answered", bluebelldoor.OK, "", "target", t.ID)
+		if errors.Is(failed, io.EOF) {
+			j.finish(t)
 			return
 		}
 		err = failed
@@ -192,3 +189,12 @@
 	j.note("broken off", bluebelldoor.AnswerTruncated, err.Error(), "target", t.ID)
 	j.call.Abort()
 }
+
+// finish ends a large answer as whole.
+func (j *job) finish(t *registrar.Target) {
+	if err := j.call.Finish(); err != nil {
+		j.note("caller left", bluebelldoor.CallerGone, err.Error(), "target", t.ID)
+		return
+	}
+	j.note("answered", bluebelldoor.OK, "", "target", t.ID)
+}
