--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -36,6 +36,7 @@
 	Body    string
 	Header  http.Header
 	Resumed string // the event after which it went on
+	At      time.Time
 }
 
 // Yard is the targets of a test and what they ran.
@@ -73,6 +74,7 @@
 	Zone    string
 	yard    *Yard
 	server  *httptest.Server
+	front   string
 	born    int64
 
 	mu       sync.Mutex
@@ -102,8 +104,15 @@
 
 // Add starts a target and registers it. Call Stop at the end.
 func (y *Yard) Add(id, service, zone string) *Target {
+	return y.AddBehind(id, service, zone, func(address string) string { return address })
+}
+
+// AddBehind starts a target and registers it at the address that front returns
+// for its own, such as that of a link.
+func (y *Yard) AddBehind(id, service, zone string, front func(address string) string) *Target {
 	t := &Target{ID: id, Service: service, Zone: zone, yard: y, born: time.Now().UnixMilli(), live: map[string]*generation{}}
 	t.server = httptest.NewServer(t)
+	t.front = front(t.server.Listener.Addr().String())
 	y.mu.Lock()
 	y.targets[t.Address()] = t
 	y.mu.Unlock()
@@ -111,8 +120,8 @@
 	return t
 }
 
-// Address returns the target's IP:port.
-func (t *Target) Address() string { return t.server.Listener.Addr().String() }
+// Address returns the IP:port at which the target is registered.
+func (t *Target) Address() string { return t.front }
 
 // Register writes the target's entry with a state.
 func (t *Target) Register(state string) {
@@ -200,7 +209,7 @@
 	t.yard.mu.Lock()
 	t.yard.runs = append(t.yard.runs, Run{
 		Target: t.ID, ID: id, Method: r.Method, Path: r.URL.RequestURI(), Body: string(body),
-		Header: r.Header.Clone(), Resumed: r.Header.Get("Last-Event-Id"),
+		Header: r.Header.Clone(), Resumed: r.Header.Get("Last-Event-Id"), At: time.Now(),
 	})
 	run := fmt.Sprintf("run%d", len(t.yard.runs))
 	t.yard.mu.Unlock()
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -18,7 +19,10 @@
 	mu      sync.Mutex
 	down    bool
 	stalled chan struct{}
-	conns   map[net.Conn]struct{}
+	// oneWay tells that only what goes to the far end is held back.
+	oneWay bool
+	delay  time.Duration
+	conns  map[net.Conn]struct{}
 }
 
 // New returns a link to an address and a clean-up function.
@@ -57,11 +61,26 @@
 	}
 }
 
+// StallOneWay holds back the bytes to the far end until Mend.
+func (l *Link) StallOneWay() {
+	l.Stall()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.oneWay = true
+}
+
+// Delay holds back each piece for a while until Mend.
+func (l *Link) Delay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = d
+}
+
 // Mend lets the link work again. Bytes held back go on.
 func (l *Link) Mend() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.down = false
+	l.down, l.oneWay, l.delay = false, false, 0
 	if l.stalled != nil {
 		close(l.stalled)
 		l.stalled = nil
@@ -91,7 +110,7 @@
 	done := make(chan struct{}, 2)
 	for _, pair := range [][2]net.Conn{{in, out}, {out, in}} {
 		go func() {
-			_, _ = io.Copy(gated{l, pair[1]}, pair[0])
+			_, _ = io.Copy(gated{l, pair[1], pair[1] == out}, pair[0])
 			done <- struct{}{}
 		}()
 	}
@@ -111,13 +130,19 @@
 type gated struct {
 	link *Link
 	to   net.Conn
+	// there tells that the bytes go to the far end.
+	there bool
 }
 
 // Write implements io.Writer.
 func (g gated) Write(p []byte) (int, error) {
 	g.link.mu.Lock()
-	stalled := g.link.stalled
+	stalled, delay := g.link.stalled, g.link.delay
+	if g.link.oneWay && !g.there {
+		stalled = nil
+	}
 	g.link.mu.Unlock()
+	time.Sleep(delay)
 	if stalled != nil {
 		<-stalled
 	}
