--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -26,6 +26,9 @@
 	retryJitter   = 400 * time.Millisecond
 	peerSilent    = 3 * time.Second
 	leaveTimeout  = time.Second
+	// suspendedNoted is the difference between two clocks that is no error of
+	// reading them one after the other.
+	suspendedNoted = 20 * time.Millisecond
 )
 
 // Sources are the adapters through which the controller hears of the world.
@@ -34,6 +37,9 @@
 	VMList        bluebelldoor.VMLister
 	Peers         bluebelldoor.Peers
 	Engines       bluebelldoor.Engines
+	// Suspended returns how long the VM has been suspended, which the steady
+	// clock does not count; nil where it never is.
+	Suspended func() time.Duration
 }
 
 // Controller is the control state of one VM.
@@ -57,6 +63,8 @@
 	ready    bool
 	draining bool
 	rejected rejection
+	// suspended is what Sources.Suspended returned last.
+	suspended time.Duration
 }
 
 // rejection is the newest document that was refused.
@@ -82,6 +90,10 @@
 		peers:       map[string]Peer{},
 		asked:       map[string]bool{},
 	}
+	if c.sources.Suspended == nil {
+		c.sources.Suspended = func() time.Duration { return 0 }
+	}
+	c.suspended = c.sources.Suspended()
 	c.publish(c.started)
 	return c
 }
@@ -121,15 +133,29 @@
 				continue
 			}
 		case <-ticker.C:
+			c.noticeSuspension()
 		}
 		c.publish(time.Now())
 	}
 }
 
+// noticeSuspension drops the evidence for the view after the VM was suspended:
+// the clock by which its age is told stood still meanwhile, also for questions
+// that are under way.
+func (c *Controller) noticeSuspension() {
+	now := c.sources.Suspended()
+	if slept := now - c.suspended; slept > suspendedNoted {
+		c.log.Warn("VM was suspended, asking anew", "forMs", slept.Milliseconds())
+		c.viewer.Forget(time.Now())
+	}
+	c.suspended = now
+}
+
 // take applies an event and those that wait behind it, and reports whether one
 // of them must be published at once. Load reports and confirmations, of which
 // there are many, wait for the next tick.
 func (c *Controller) take(e event) bool {
+	c.noticeSuspension()
 	urgent := e.apply(c)
 	for {
 		select {
@@ -152,12 +178,14 @@
 func (c *Controller) publish(now time.Time) {
 	view := c.viewer.View()
 	s := &State{
-		view:     view,
-		peers:    make(map[string]Peer, len(c.peers)),
-		at:       now,
-		ready:    c.ready,
-		draining: c.draining,
-		rejected: c.rejected,
+		view:       view,
+		peers:      make(map[string]Peer, len(c.peers)),
+		at:         now,
+		ready:      c.ready,
+		draining:   c.draining,
+		rejected:   c.rejected,
+		suspension: c.suspended,
+		suspended:  c.sources.Suspended,
 	}
 	for name, p := range c.peers {
 		s.peers[name] = p
--- a/process/controller/state.go
+++ b/process/controller/state.go
@@ -27,6 +27,9 @@
 	ready    bool
 	draining bool
 	rejected rejection
+	// suspension is what suspended returned when the state was published.
+	suspension time.Duration
+	suspended  func() time.Duration
 }
 
 // View returns the view in force.
@@ -57,6 +60,9 @@
 	if refusal := s.view.Fresh(now); refusal != nil {
 		return refusal
 	}
+	if slept := s.suspended() - s.suspension; slept > suspendedNoted {
+		return bluebelldoor.Refuse(bluebelldoor.ViewStale, "this VM was suspended for "+slept.String()).WithRetryAfter(controlStopped)
+	}
 	if !s.ready {
 		return bluebelldoor.Refuse(bluebelldoor.ViewStale, "the targets have not been asked yet").WithRetryAfter(controlStopped)
 	}
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -24,6 +24,7 @@
 	"bluebelldoor/process/executor"
 	"bluebelldoor/process/orderer"
 	"bluebelldoor/process/recorder"
+	"bluebelldoor/process/timer"
 	"bluebelldoor/request/admitter"
 	"bluebelldoor/request/identifier"
 	"bluebelldoor/request/router"
@@ -80,6 +81,9 @@
 	Engines       bluebelldoor.Engines
 	Applications  bluebelldoor.Applications
 	Orders        bluebelldoor.Orders
+	// Suspended returns how long the VM has been suspended; nil where it never
+	// is, as in virtual time.
+	Suspended func() time.Duration
 }
 
 // New starts a VM's process with its listeners. The clean-up function stops it
@@ -89,6 +93,11 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	clock, err := timer.New()
+	if err != nil {
+		stopReader()
+		return nil, nil, err
+	}
 	targets := dialer.New()
 	r := assemble(settings, log, Adapters{
 		Configuration: platform,
@@ -97,6 +106,7 @@
 		Engines:       targets,
 		Applications:  targets,
 		Orders:        targets,
+		Suspended:     clock.Suspended,
 	})
 	r.onStop(stopReader)
 	if err := r.listen(); err != nil {
@@ -138,6 +148,7 @@
 		VMList:        adapters.VMList,
 		Peers:         adapters.Peers,
 		Engines:       adapters.Engines,
+		Suspended:     adapters.Suspended,
 	}, log.Named("control"), r.metrics)
 	var stopGate, stopCalls func()
 	r.gate, stopGate = streamer.NewGate(admitter.New(router.Router{}, rand.Uint64), r.control.State)
--- a/process/timer/timer.go
+++ b/process/timer/timer.go
@@ -38,3 +38,13 @@
 	}
 	return time.Duration(t.Nano())
 }
+
+// Suspended returns how long the VM has been suspended since its start: what
+// the runtime's steady clock lacks. Only differences mean something.
+func (b Boot) Suspended() time.Duration {
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &t) != nil {
+		panic("the steady clock has failed")
+	}
+	return b.Now() - time.Duration(t.Nano())
+}
--- a/version/viewer/viewer.go
+++ b/version/viewer/viewer.go
@@ -34,6 +34,8 @@
 	view     View
 	peers    map[string]*evidence
 	electors []string
+	// notBefore is the time before which questions are no evidence.
+	notBefore time.Time
 }
 
 // New returns a viewer for the VM named self, with no document and no list.
@@ -88,10 +90,20 @@
 	return out
 }
 
+// Forget drops all evidence; answers to questions asked before now count no
+// more.
+func (v *Viewer) Forget(now time.Time) {
+	v.notBefore = now
+	v.view.documentConfirmed, v.view.listConfirmed = time.Time{}, time.Time{}
+	for _, e := range v.peers {
+		e.document, e.list = time.Time{}, time.Time{}
+	}
+}
+
 // Service notes that the configuration service, asked at asked, held revision.
 // A stale copy, which holds less than is in force, proves nothing.
 func (v *Viewer) Service(revision uint64, asked time.Time) {
-	if v.view.document != nil && revision == v.view.document.Revision() {
+	if v.view.document != nil && revision == v.view.document.Revision() && !asked.Before(v.notBefore) {
 		advance(&v.view.documentConfirmed, asked)
 	}
 	v.settle()
@@ -99,7 +111,7 @@
 
 // ListService notes that the platform's VM list, asked at asked, had version.
 func (v *Viewer) ListService(version uint64, asked time.Time) {
-	if v.view.list != nil && version == v.view.list.Version() {
+	if v.view.list != nil && version == v.view.list.Version() && !asked.Before(v.notBefore) {
 		advance(&v.view.listConfirmed, asked)
 	}
 	v.settle()
@@ -110,6 +122,10 @@
 func (v *Viewer) Peer(name string, s Statement, asked time.Time) {
 	e := v.peer(name)
 	e.asked = true
+	if asked.Before(v.notBefore) {
+		v.settle()
+		return
+	}
 	if d := v.view.document; d != nil && s.Revision <= d.Revision() {
 		advance(&e.document, asked)
 		if s.Revision == d.Revision() && s.HasConfirmed {
--- a/version/viewer/viewer_test.go
+++ b/version/viewer/viewer_test.go
@@ -54,8 +54,22 @@
 		"a stale copy":                           {func(v *viewer.Viewer) { v.Service(4, at(1)); v.ListService(1, at(1)) }, 0},
 		"only the document":                      {func(v *viewer.Viewer) { v.Service(5, at(1)) }, 0},
 		"a peer that was confirmed a second ago": {func(v *viewer.Viewer) { v.Peer("vm-1", says(5, time.Second), at(2)) }, 4},
-		"a peer with an older revision":          {func(v *viewer.Viewer) { v.Peer("vm-1", says(4, 0), at(2)) }, 0},
-		"one unsure peer":                        {func(v *viewer.Viewer) { v.Peer("vm-1", unsure(5), at(2)) }, 0},
+		"a peer whose document is older than its list": {func(v *viewer.Viewer) {
+			v.Peer("vm-1", viewer.Statement{Revision: 5, DocumentAge: 2 * time.Second, ListVersion: 1, HasConfirmed: true}, at(2))
+		}, 3},
+		"a peer whose list is older than its document": {func(v *viewer.Viewer) {
+			v.Peer("vm-1", viewer.Statement{Revision: 5, ListVersion: 1, ListAge: 2 * time.Second, HasConfirmed: true}, at(2))
+		}, 3},
+		"the platform, before a suspension": {func(v *viewer.Viewer) { v.Service(5, at(1)); v.ListService(1, at(1)); v.Forget(at(1.5)) }, 0},
+		"asked before a suspension": {func(v *viewer.Viewer) {
+			v.Forget(at(1.5))
+			v.Service(5, at(1))
+			v.ListService(1, at(1))
+			v.Peer("vm-1", says(5, 0), at(1))
+		}, 0},
+		"asked after a suspension":      {func(v *viewer.Viewer) { v.Forget(at(1.5)); v.Peer("vm-1", says(5, 0), at(2)) }, 5},
+		"a peer with an older revision": {func(v *viewer.Viewer) { v.Peer("vm-1", says(4, 0), at(2)) }, 0},
+		"one unsure peer":               {func(v *viewer.Viewer) { v.Peer("vm-1", unsure(5), at(2)) }, 0},
 		"a majority that holds nothing newer": {func(v *viewer.Viewer) {
 			v.Peer("vm-1", unsure(5), at(2))
 			v.Peer("vm-2", unsure(4), at(1))
