Never say 'not run' of an idempotent request that may have run

Cause: a refusal for want of a target, after an earlier target had lost the answer, still said 503. Found while the soak's check was widened to idempotent requests; the case 'safe, lost, refused' failed first. What a target may have run is answered 502.

--- a/cmd/bluebelldoor/soak_test.go
+++ b/cmd/bluebelldoor/soak_test.go
@@ -342,7 +342,7 @@
 	case <-time.After(stopWithin + 5*time.Second):
 		s.t.Errorf("%s still runs after %s and %s", v.name, sig, stopWithin)
 		v.signal(syscall.SIGKILL, true)
-		<-ended
+		s.t.Logf("%s was killed: %v", v.name, <-ended)
 	}
 	s.start(v)
 }
@@ -486,27 +486,46 @@
 		if r.Header.Get("Kv-From") == "" {
 			fresh++
 		}
-		if r.Header.Get("Authorization") != "" || r.Header.Get("Tenant") != "account" {
-			return errors.New("a key was passed on, or a wrong account")
-		}
-		if r.Body != "body" || r.Path != "/"+o.path+"/x" {
-			return fmt.Errorf("ran as %s with %q", r.Path, r.Body)
-		}
-		if o.key == secondKey && !s.taken.IsZero() && o.sent.After(s.taken.Add(keyGrace)) {
-			return fmt.Errorf("sent %s after its key was taken away and ran", o.sent.Sub(s.taken))
+		if err := s.wrongRun(o, r); err != nil {
+			return err
 		}
 	}
-	switch {
-	case fresh > 1 && (o.path == "unsafe" || o.path == "stream"):
+	once := o.path == "unsafe" || o.path == "stream"
+	switch refused := o.status == 503 || o.status == 429; {
+	case once && fresh > 1:
 		return fmt.Errorf("ran %d times", fresh)
-	case (o.status == 503 || o.status == 429) && len(runs) > 0 && (o.path == "unsafe" || o.path == "stream"):
+	case refused && len(runs) > 0:
 		return fmt.Errorf("%d promises that it did not run; it did", o.status)
-	case o.status == 200 && o.stamp == "":
+	case o.status == 200:
+		return wrongAnswer(o)
+	}
+	return nil
+}
+
+// wrongRun returns why a run is not the caller's request.
+func (s *soak) wrongRun(o outcome, r lender.Run) error {
+	switch {
+	case r.Header.Get("Authorization") != "" || r.Header.Get("Tenant") != "account":
+		return errors.New("a key was passed on, or a wrong account")
+	case r.Body != "body" || r.Path != "/"+o.path+"/x":
+		return fmt.Errorf("ran as %s with %q", r.Path, r.Body)
+	case o.key == secondKey && !s.taken.IsZero() && o.sent.After(s.taken.Add(keyGrace)):
+		return fmt.Errorf("sent %s after its key was taken away and ran", o.sent.Sub(s.taken))
+	}
+	return nil
+}
+
+// wrongAnswer returns why a success is not the target's whole answer.
+func wrongAnswer(o outcome) error {
+	switch streamed := o.path == "stream" || o.path == "resume"; {
+	case o.stamp == "":
 		return errors.New("a success that no target gave")
-	case o.status == 200 && o.whole && (o.path == "safe" || o.path == "unsafe") && o.body != "answer to "+o.id:
-		return fmt.Errorf("the answer is %q", o.body)
-	case o.status == 200 && o.whole && (o.path == "stream" || o.path == "resume"):
+	case !o.whole:
+		return nil
+	case streamed:
 		return inOrder(o.body, 60, o.path == "stream")
+	case o.body != "answer to "+o.id:
+		return fmt.Errorf("the answer is %q", o.body)
 	}
 	return nil
 }
--- a/process/runner/relay_test.go
+++ b/process/runner/relay_test.go
@@ -255,6 +255,7 @@
 		"safe, failed twice":      {toSafe, []lender.Act{lender.Fail, lender.Fail}, 500, 2, false},
 		"safe, lost once":         {toSafe, []lender.Act{lender.Drop}, 200, 2, false},
 		"safe, cut once":          {toSafe, []lender.Act{lender.Cut}, 200, 2, false},
+		"safe, lost, refused":     {toSafe, []lender.Act{lender.Drop, lender.Shed, lender.Shed}, 502, 1, false},
 		"safe, crossed once":      {toSafe, []lender.Act{lender.Wrong}, 200, 2, false},
 		"unsafe, served":          {toUnsafe, nil, 200, 1, false},
 		"unsafe, refused once":    {toUnsafe, []lender.Act{lender.Shed}, 200, 1, false},
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -238,8 +238,12 @@
 
 func (j *job) expired() bool { return j.deadline > 0 && j.left() <= 0 }
 
-// refuse gives the final answer to a request that is not served.
+// refuse gives the final answer to a request that is not served. One that a
+// target may have run is never said not to have run.
 func (j *job) refuse(refusal *bluebelldoor.Refusal) {
+	if j.runs > 0 && refusal.Executed() == bluebelldoor.ExecutedNo {
+		refusal = bluebelldoor.Refuse(bluebelldoor.OutcomeUnknown, refusal.Detail()).WithExecuted(bluebelldoor.ExecutedUnknown)
+	}
 	j.note("refused", refusal.Code(), refusal.Detail())
 	if j.call.Begun() {
 		j.call.Abort()
