--- a/cmd/bluebelldoor/relay.go
+++ b/cmd/bluebelldoor/relay.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -8,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/google/subcommands"
 	"github.com/hashicorp/go-hclog"
@@ -24,7 +26,14 @@
 // the rest is for what the kernel counts beside it.
 const memoryShare = 0.7
 
-type relayCommand struct{ settings string }
+// lookEvery is how often the settings file is looked at for a change that came
+// without a signal.
+const lookEvery = 2 * time.Second
+
+type relayCommand struct {
+	settings string
+	text     []byte
+}
 
 func (*relayCommand) Name() string     { return "relay" }
 func (*relayCommand) Synopsis() string { return "serve on the users' platform until told to stop" }
@@ -32,8 +41,9 @@
 	return `bluebelldoor relay -settings FILE
 
 Serves callers on the users' platform: requests are passed on as they are to
-targets that register themselves. SIGTERM or SIGINT is a planned stop, SIGHUP
-has the settings checked anew. A second SIGTERM stops at once.
+targets that register themselves. SIGTERM or SIGINT is a planned stop. Changed
+settings are taken into force at SIGHUP, or within two seconds without it. A
+second SIGTERM stops at once.
 
 Exit status: 0 after a planned stop, 1 if the VM could not start, 2 if the
 command line or the settings are wrong.
@@ -68,25 +78,33 @@
 		return subcommands.ExitFailure
 	}
 	defer cleanUp()
-	c.await(signals, log)
+	c.await(signals, r, log)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		c.await(signals, log)
+		c.await(signals, r, log)
 		cancel()
 	}()
 	r.Drain(ctx)
 	return subcommands.ExitSuccess
 }
 
+// read returns the settings and notes their text.
 func (c *relayCommand) read() (*bluebelldoor.RelaySettings, error) {
 	text, err := os.ReadFile(c.settings)
 	if err != nil {
 		return nil, err
 	}
+	c.text = text
 	return parser.RelaySettings(c.settings, text)
 }
 
+// changed reports whether the file holds another text than was read last.
+func (c *relayCommand) changed() bool {
+	text, err := os.ReadFile(c.settings)
+	return err == nil && !bytes.Equal(text, c.text)
+}
+
 func (c *relayCommand) start(settings *bluebelldoor.RelaySettings, log hclog.Logger) (*runner.Relay, func(), error) {
 	clock, err := timer.New()
 	if err != nil {
@@ -113,17 +131,33 @@
 	}, nil
 }
 
-// await returns at a signal to stop.
-func (c *relayCommand) await(signals <-chan os.Signal, log hclog.Logger) {
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			log.Info("signal to stop", "signal", s.String())
-			return
-		}
-		if _, err := c.read(); err != nil {
-			log.Error("settings refused, those in force stay", "error", err)
-			continue
+// await returns at a signal to stop. Until then it takes changed settings into
+// force, at SIGHUP or when the file is seen to differ.
+func (c *relayCommand) await(signals <-chan os.Signal, r *runner.Relay, log hclog.Logger) {
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				log.Info("signal to stop", "signal", s.String())
+				return
+			}
+			c.reload(r, log)
+		case <-ticker.C:
+			if c.changed() {
+				c.reload(r, log)
+			}
 		}
-		log.Info("settings read again")
 	}
 }
+
+func (c *relayCommand) reload(r *runner.Relay, log hclog.Logger) {
+	settings, err := c.read()
+	if err != nil {
+		log.Error("settings refused, those in force stay", "error", err)
+		return
+	}
+	log.SetLevel(hclog.LevelFromString(settings.LogLevel))
+	r.Reload(settings)
+}
--- a/process/budgeter/budgeter.go
+++ b/process/budgeter/budgeter.go
@@ -46,6 +46,17 @@
 	return &Budgeter{settings: s, services: map[string]*counts{}}
 }
 
+// Reload takes changed bounds into force; the counts of a window of another
+// length begin anew.
+func (b *Budgeter) Reload(s Settings) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s.Window != b.settings.Window {
+		b.services = map[string]*counts{}
+	}
+	b.settings = s
+}
+
 func (b *Budgeter) counts(service string, now time.Duration) *counts {
 	c := b.services[service]
 	if c == nil {
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -72,6 +72,7 @@
 	gossiper  *gossiper.Gossiper
 	turner    *turner.Turner
 	relayer   *relayer.Relayer
+	budget    *budgeter.Budgeter
 	acceptor  *acceptor.Acceptor
 	meter     timer.Meter
 	cleanUps  []func()
@@ -103,12 +104,8 @@
 	r.turner = turner.New(settings.Name, peers, r.gossiper.Alive)
 	targets, closeTargets := exchanger.New(adapters.Codec)
 	r.onStop(closeTargets)
-	r.relayer = relayer.New(relayer.Settings{
-		DataCentre:    settings.DataCentre,
-		KeyEvidence:   time.Duration(float64(settings.KeyEvidence) * keyMargin),
-		ColdFactor:    settings.ColdFactor,
-		ColdAllowance: settings.ColdAllowance,
-	}, relayer.Sources{
+	r.budget = budgeter.New(budget(settings))
+	r.relayer = relayer.New(bounds(settings), relayer.Sources{
 		View:     r.registrar.View,
 		Evidence: r.registrar.Evidence,
 		Share:    r.gossiper.Share,
@@ -118,11 +115,7 @@
 		Mover:   adapters.Mover,
 		Targets: targets,
 		Turns:   r.turner,
-		Budget: budgeter.New(budgeter.Settings{
-			Window:    settings.RetryWindow,
-			Ratio:     settings.RetryRatio,
-			Allowance: settings.RetryAllowance,
-		}),
+		Budget:  r.budget,
 		Metrics: r.metrics,
 	}, adapters.Clock, log.Named("relayer"))
 	r.registrar.Observe(r.relayer.Leaving)
@@ -138,6 +131,28 @@
 	return r, r.cleanUp, nil
 }
 
+func bounds(s *bluebelldoor.RelaySettings) relayer.Settings {
+	return relayer.Settings{
+		DataCentre:    s.DataCentre,
+		KeyEvidence:   time.Duration(float64(s.KeyEvidence) * keyMargin),
+		ColdFactor:    s.ColdFactor,
+		ColdAllowance: s.ColdAllowance,
+	}
+}
+
+func budget(s *bluebelldoor.RelaySettings) budgeter.Settings {
+	return budgeter.Settings{Window: s.RetryWindow, Ratio: s.RetryRatio, Allowance: s.RetryAllowance}
+}
+
+// Reload takes changed settings into force: the bounds on requests. Addresses,
+// seeds and the name are those of the start.
+func (r *Relay) Reload(settings *bluebelldoor.RelaySettings) {
+	r.relayer.Reload(bounds(settings))
+	r.budget.Reload(budget(settings))
+	r.log.Info("settings in force", "keyEvidence", settings.KeyEvidence.String(), "retryRatio", settings.RetryRatio,
+		"retryAllowance", settings.RetryAllowance, "coldFactor", settings.ColdFactor, "coldAllowance", settings.ColdAllowance)
+}
+
 // listen opens the VM's addresses, that of callers last.
 func (r *Relay) listen() error {
 	for _, open := range []func() (func(), error){
--- a/process/runner/relay_test.go
+++ b/process/runner/relay_test.go
@@ -665,3 +665,39 @@
 		<-full
 	}
 }
+
+// TestRelayDark finds the one target that is left when a data centre of them
+// has gone dark without notice.
+func TestRelayDark(t *testing.T) {
+	f := startRelays(t, 1)
+	for i := range 6 {
+		f.yard.Add(fmt.Sprintf("app-%d", i), "app", "dc-0").Stop()
+	}
+	left := f.yard.Add("app-left", "app", "dc-1")
+	defer left.Stop()
+	f.ready(t)
+	await(t, "all targets are known", func() bool { return f.vms[0].ask(t, "GET", toSafe+"x", "known", nil).status == 200 })
+	for i := range 10 {
+		id := fmt.Sprintf("dark-%d", i)
+		assert.Equal(t, f.vms[0].ask(t, "POST", toUnsafe+"x", id, nil).status, 200)
+		assert.Equal(t, len(f.yard.Runs(id)), 1)
+	}
+}
+
+// TestRelayReload takes changed settings into force while requests go on.
+func TestRelayReload(t *testing.T) {
+	f := startRelays(t, 1)
+	app := f.yard.Add("app-1", "app", "dc-0")
+	defer app.Stop()
+	f.settle(t)
+	f.store.SetMode(lender.Busy)
+	changed := *f.vms[0].settings
+	changed.KeyEvidence = time.Minute
+	f.vms[0].Reload(&changed)
+	time.Sleep(keyGrace + 300*time.Millisecond)
+	assert.Equal(t, f.vms[0].ask(t, "GET", toSafe+"x", "longer", nil).status, 200)
+	changed.KeyEvidence = keyGrace / 2
+	f.vms[0].Reload(&changed)
+	assert.Equal(t, f.vms[0].ask(t, "GET", toSafe+"x", "shorter", nil).status, 503)
+	f.store.SetMode(lender.Up)
+}
--- a/request/placer/ledger.go
+++ b/request/placer/ledger.go
@@ -10,6 +10,9 @@
 	// failureWeight is the weight of the newest answer in a target's share of
 	// failures.
 	failureWeight = 0.2
+	// unreachableFor is how long a target that takes no connection goes last;
+	// then it is tried again.
+	unreachableFor = time.Second
 	// peerStale is the age at which a peer's loads no longer count; they come
 	// several times a second.
 	peerStale = 3 * time.Second
@@ -31,6 +34,8 @@
 	sums     map[string]load
 	dirty    bool
 	cold     map[string][]time.Duration
+	// unreachable is when a target last took no connection.
+	unreachable map[string]time.Duration
 }
 
 type peerLoads struct {
@@ -46,6 +51,8 @@
 		failures: map[string]float64{},
 		sums:     map[string]load{},
 		cold:     map[string][]time.Duration{},
+
+		unreachable: map[string]time.Duration{},
 	}
 }
 
@@ -108,10 +115,20 @@
 	l.failures[target] += failureWeight * (x - l.failures[target])
 }
 
+// Unreachable notes that a target takes no connection.
+func (l *Ledger) Unreachable(target string, now time.Duration) { l.unreachable[target] = now }
+
+// isUnreachable reports whether a target took no connection of late.
+func (l *Ledger) isUnreachable(target string, now time.Duration) bool {
+	at, noted := l.unreachable[target]
+	return noted && now-at < unreachableFor
+}
+
 // Forget drops what is known of a target that is gone.
 func (l *Ledger) Forget(target string) {
 	delete(l.failures, target)
 	delete(l.cold, target)
+	delete(l.unreachable, target)
 }
 
 // Own returns this VM's loads, for its peers.
--- a/request/placer/load_test.go
+++ b/request/placer/load_test.go
@@ -270,6 +270,16 @@
 			placer.Demand{},
 			0,
 		},
+		"a target that can't be reached": {
+			placer.Candidate{Instance: instance("a", "x")},
+			placer.Candidate{Instance: instance("b", "x")},
+			func(l *placer.Ledger) {
+				l.Unreachable("b", 0)
+				l.Start("a", 30000, 6000)
+			},
+			placer.Demand{Tokens: 3000, Engine: kind},
+			0,
+		},
 		"a lapsed entry": {
 			placer.Candidate{Instance: instance("a", "x"), Lapsed: true},
 			placer.Candidate{Instance: instance("b", "x")},
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -27,6 +27,8 @@
 	lapsedCost = 4
 	// fullCost weighs a target without a place for the request.
 	fullCost = 100
+	// unreachableCost weighs a target that took no connection of late.
+	unreachableCost = 50
 	// overCost weighs generations that together may come to need twice a
 	// target's memory. They need it only if they are long at the same time.
 	overCost = 30
@@ -102,6 +104,9 @@
 			continue
 		}
 		cost, full := l.cost(c, d, usual)
+		if l.isUnreachable(c.Instance.ID, now) {
+			cost += unreachableCost
+		}
 		cost += jitter * random()
 		if cost < best.Cost {
 			sum := l.sums[c.Instance.ID]
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -28,6 +28,9 @@
 	// maxUnrun bounds the targets that may refuse a request unrun before the
 	// caller is refused.
 	maxUnrun = 3
+	// maxUnsent bounds the targets of which none took a byte: a data centre of
+	// them may be dark.
+	maxUnsent = 10
 	// retryShare is the part of the budget that retries may use; the rest is
 	// kept for generations that move.
 	retryShare = 0.6
@@ -72,7 +75,7 @@
 // Relayer serves the requests of one VM. It is safe for concurrent use.
 type Relayer struct {
 	Parts
-	settings Settings
+	settings atomic.Pointer[Settings]
 	sources  Sources
 	clock    bluebelldoor.Clock
 	log      hclog.Logger
@@ -85,17 +88,21 @@
 
 // New returns a relayer.
 func New(settings Settings, sources Sources, parts Parts, clock bluebelldoor.Clock, log hclog.Logger) *Relayer {
-	return &Relayer{
-		Parts:    parts,
-		settings: settings,
-		sources:  sources,
-		clock:    clock,
-		log:      log,
-		ledger:   placer.NewLedger(),
-		streams:  map[*stream]struct{}{},
-	}
+	r := &Relayer{
+		Parts:   parts,
+		sources: sources,
+		clock:   clock,
+		log:     log,
+		ledger:  placer.NewLedger(),
+		streams: map[*stream]struct{}{},
+	}
+	r.settings.Store(&settings)
+	return r
 }
 
+// Reload takes changed bounds into force.
+func (r *Relayer) Reload(settings Settings) { r.settings.Store(&settings) }
+
 // Leave makes the VM refuse new streams, which would outlast it.
 func (r *Relayer) Leave() { r.leaving.Store(true) }
 
@@ -129,6 +136,7 @@
 	excluded map[string]bool
 	runs     int // sends after which a target may have run the request
 	unrun    int // sends that were proved not to have run
+	unsends  int // targets that no byte was sent to
 }
 
 // Serve takes a caller's request to its final answer.
@@ -168,7 +176,7 @@
 	}
 	j.priority = j.route.Priority
 	if routing.Keyed() && !j.route.Public {
-		if age > j.settings.KeyEvidence {
+		if age > j.settings.Load().KeyEvidence {
 			return bluebelldoor.Refuse(bluebelldoor.ViewStale, "the platform has not confirmed the keys for "+age.Round(time.Millisecond).String()).WithRetryAfter(comeBack)
 		}
 		account := routing.Account(j.request.APIKey)
@@ -305,12 +313,12 @@
 
 // demand returns what the request needs of a target.
 func (j *job) demand() placer.Demand {
-	d := placer.Demand{DataCentre: j.settings.DataCentre, Engine: j.service.Engine, ColdPerSecond: -1}
+	d := placer.Demand{DataCentre: j.settings.Load().DataCentre, Engine: j.service.Engine, ColdPerSecond: -1}
 	if j.route.Generates {
 		d.Tokens = j.request.PromptTokens + j.expected()
 	}
 	if j.service.ColdPerSecond > 0 {
-		d.ColdPerSecond = (j.service.ColdPerSecond*j.settings.ColdFactor + j.settings.ColdAllowance) * coldSafety * j.sources.Share()
+		d.ColdPerSecond = (j.service.ColdPerSecond*j.settings.Load().ColdFactor + j.settings.Load().ColdAllowance) * coldSafety * j.sources.Share()
 	}
 	return d
 }
@@ -406,7 +414,7 @@
 	if j.account == "" {
 		return nil
 	}
-	if age, _ := j.sources.Evidence(); age > j.settings.KeyEvidence {
+	if age, _ := j.sources.Evidence(); age > j.settings.Load().KeyEvidence {
 		return errClosed
 	}
 	if account := routing.Account(j.request.APIKey); account == nil || account.Account != j.account {
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -74,6 +74,9 @@
 	}
 	j.outcome(t, true)
 	if failed.Executed == bluebelldoor.ExecutedNo {
+		j.mu.Lock()
+		j.ledger.Unreachable(t.ID, j.clock.Now())
+		j.mu.Unlock()
 		return j.unsent(t, err)
 	}
 	j.runs++
@@ -87,8 +90,8 @@
 
 // unsent handles a send of which no byte left.
 func (j *job) unsent(t *registrar.Target, err error) bool {
-	j.unrun++
-	if j.unrun >= maxUnrun {
+	j.unsends++
+	if j.unsends >= maxUnsent {
 		j.refuse(bluebelldoor.Refuse(bluebelldoor.NoTarget, "target "+t.ID+": "+err.Error()).WithRetryAfter(comeBack))
 		return true
 	}
