--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -21,12 +21,15 @@
 	// retryFirst and retryMost bound the pause after a failed read.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
+	// servedRetryMost bounds it for a VM that stands by: each call is paid for,
+	// and the VMs that serve will tell it.
+	servedRetryMost = 2 * time.Second
 	// staleAfter is the age of the evidence at which a VM that leaves reading
 	// to its peers reads for itself: a watch, a round between peers, and slack.
 	staleAfter = 1300 * time.Millisecond
 	// servedStaleAfter is the same for a VM that stands by and asks its peers
 	// every three rounds.
-	servedStaleAfter = 2600 * time.Millisecond
+	servedStaleAfter = 3 * time.Second
 	// lookAgain is how often a VM that leaves reading to its peers looks at the
 	// age of its evidence.
 	lookAgain = 100 * time.Millisecond
@@ -187,7 +190,7 @@
 			connected = false
 		}
 		sleep(ctx, pause)
-		pause = min(2*pause, retryMost)
+		pause = min(2*pause, r.retryMost())
 	}
 }
 
@@ -198,6 +201,13 @@
 	return staleAfter
 }
 
+func (r *Registrar) retryMost() time.Duration {
+	if r.role.Served() {
+		return servedRetryMost
+	}
+	return retryMost
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -43,9 +43,9 @@
 	// fewestNear is how many VMs of a caller's own data centre are enough to
 	// name no others.
 	fewestNear = 2
-	// readers is how many VMs read the platform for all: a second one, so that
-	// the loss of one delays nothing.
-	readers = 2
+	// readers is how many VMs read the platform for all. Each call is paid for;
+	// should the one fall silent, the others read when their evidence is old.
+	readers = 1
 	// quietFor is how long no request must have come before a stop ends early.
 	quietFor = time.Second
 )
