--- /dev/null
+++ b/process/gossiper/state.go
@@ -0,0 +1,94 @@
+package gossiper
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bluebelldoor"
+)
+
+// state is what the rest of the process sees of the fleet. It is immutable.
+type state struct {
+	alive []bluebelldoor.MemberState
+	hubs  []bluebelldoor.MemberState
+	isHub bool
+	known int
+}
+
+// Alive returns the members that are alive, the VM itself included. Callers
+// must not change the slice.
+func (g *Gossiper) Alive() []bluebelldoor.MemberState { return g.state.Load().alive }
+
+// Hubs returns the members that serve callers. Callers must not change the
+// slice.
+func (g *Gossiper) Hubs() []bluebelldoor.MemberState { return g.state.Load().hubs }
+
+// IsHub reports whether the VM itself serves callers.
+func (g *Gossiper) IsHub() bool { return g.state.Load().isHub }
+
+// Share returns the part of what all VMs together may send that this VM may.
+func (g *Gossiper) Share() float64 {
+	s := g.state.Load()
+	hubs := len(s.hubs)
+	switch rest := s.known - hubs; {
+	case rest <= 0 || hubs == 0:
+		return 1 / float64(max(1, s.known))
+	case s.isHub:
+		return hubShare / float64(hubs)
+	default:
+		return (1 - hubShare) / float64(rest)
+	}
+}
+
+// stand decides whether the VM itself serves. One that is missing waits a
+// while, lest all that stand by step in at once. A mutex is held but for New.
+func (g *Gossiper) stand(hubs []bluebelldoor.MemberState) bool {
+	self, now := g.table.Self(), g.clock.Now()
+	switch needed := self.Ready && !self.Leaving && Needed(self, hubs); {
+	case !needed:
+		g.wanting = 0
+		return false
+	case self.Hub || len(hubs) == 0:
+		return true
+	case g.wanting == 0:
+		g.wanting = now
+		g.patience = time.Duration(rand.Int64N(int64(longestPatience)))
+	}
+	return now-g.wanting >= g.patience
+}
+
+// publish makes the fleet visible and logs who came and who fell silent. A
+// mutex is held but for New.
+func (g *Gossiper) publish() {
+	alive := g.table.Alive(g.clock.Now())
+	self := g.table.Self()
+	s := &state{alive: alive, known: max(g.table.Known(), g.told)}
+	for _, m := range alive {
+		if m.Name != self.Name && serves(m) {
+			s.hubs = append(s.hubs, m)
+		}
+	}
+	s.isHub = g.stand(s.hubs)
+	g.table.self.Hub = s.isHub
+	if s.isHub {
+		s.hubs = append(s.hubs, g.table.Self())
+	}
+	g.state.Store(s)
+	now := make(map[string]bool, len(alive))
+	for _, m := range alive {
+		now[m.Name] = serves(m)
+		if _, noted := g.noted[m.Name]; !noted {
+			g.log.Info("member alive", "vm", m.Name, "incarnation", m.Incarnation, "known", s.known)
+		}
+		if before, noted := g.noted[m.Name]; !noted || before != now[m.Name] {
+			g.changed = self.Heartbeat
+		}
+	}
+	for name := range g.noted {
+		if _, still := now[name]; !still {
+			g.changed = self.Heartbeat
+			g.log.Warn("member silent", "vm", name, "limitMs", aliveFor.Milliseconds())
+		}
+	}
+	g.noted = now
+}
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -17,7 +15,6 @@
 	"bluebelldoor/process/budgeter"
 	"bluebelldoor/process/gossiper"
 	"bluebelldoor/process/prober"
-	"bluebelldoor/process/ranker"
 	"bluebelldoor/process/recorder"
 	"bluebelldoor/process/registrar"
 	"bluebelldoor/process/timer"
@@ -25,30 +22,9 @@
 	"bluebelldoor/request/relayer"
 )
 
-const (
-	// keyMargin is the part of a taken key's grace within which this VM's
-	// evidence must lie; the rest is for requests on their way.
-	keyMargin = 0.75
-	// entryValidFor is how long callers keep an answer of the directory, if
-	// the settings allow as much.
-	entryValidFor = 2 * time.Second
-	// newStreamsFor is the part of a planned stop in which new streams are
-	// still taken from callers with old addresses.
-	newStreamsFor = 0.3
-	// stopEarly is the time before the platform's limit at which a stop ends.
-	stopEarly = 400 * time.Millisecond
-	// oldAddressTimes is how many times an answer's validity callers may use
-	// it, as the slowest of them do.
-	oldAddressTimes = 3
-	// fewestNear is how many VMs of a caller's own data centre are enough to
-	// name no others.
-	fewestNear = 2
-	// readers is how many VMs read the platform for all. Each call is paid for;
-	// should the one fall silent, the others read when their evidence is old.
-	readers = 1
-	// quietFor is how long no request must have come before a stop ends early.
-	quietFor = time.Second
-)
+// keyMargin is the part of a taken key's grace within which this VM's evidence
+// must lie; the rest is for requests on their way.
+const keyMargin = 0.75
 
 // RelayAdapters reach what lies outside a VM that relays.
 type RelayAdapters struct {
@@ -195,85 +171,6 @@
 	}
 }
 
-func (r *Relay) limits() bluebelldoor.CallerLimits {
-	if routing := r.registrar.View().Routing(); routing != nil {
-		return routing.Limits()
-	}
-	return bluebelldoor.CallerLimits{}
-}
-
-// serving reports whether the VM should get new callers.
-func (r *Relay) serving() bool {
-	return r.life.MustState() == Serving && r.registrar.View().Routing() != nil
-}
-
-// ready tells the platform whether the VM is ready. One that can't read the
-// platform goes on serving what needs no proof, and stays ready.
-func (r *Relay) ready() bool { return r.serving() }
-
-// describe brings what the VM says of itself up to date.
-func (r *Relay) describe(s *bluebelldoor.MemberState) {
-	s.Ready = r.serving()
-	s.Leaving = r.life.MustState() != Serving
-	s.Loads = r.relayer.Loads()
-	s.Revision = r.registrar.Revision()
-	use, err := r.meter.Cores(r.adapters.Clock.Now())
-	if err != nil {
-		r.log.Warn("processor time not known", "error", err)
-	}
-	s.Use = use
-}
-
-// reads reports whether this VM reads the platform on behalf of its peers: the
-// first ones by rendezvous hashing, in different data centres.
-func (r *Relay) reads() bool {
-	byDataCentre := map[string][]string{}
-	for _, m := range r.gossiper.Hubs() {
-		if !m.Leaving {
-			byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], m.Name)
-		}
-	}
-	dataCentres := ranker.Top("readers", slices.Collect(maps.Keys(byDataCentre)), readers)
-	return slices.Contains(dataCentres, r.settings.DataCentre) &&
-		ranker.First("reader", byDataCentre[r.settings.DataCentre]) == r.settings.Name
-}
-
-// entry names the VMs that a caller may use: those that serve in its own data
-// centre, if there are two at least, so that its requests cross no link between
-// data centres; else all that serve, or else all that are ready.
-func (r *Relay) entry(dataCentre string) ([]string, time.Duration) {
-	hubs := r.gossiper.Hubs()
-	var near []bluebelldoor.MemberState
-	for _, m := range hubs {
-		if m.DataCentre == dataCentre {
-			near = append(near, m)
-		}
-	}
-	out := r.addresses(near)
-	if len(out) < fewestNear {
-		out = r.addresses(hubs)
-	}
-	if len(out) == 0 {
-		out = r.addresses(r.gossiper.Alive())
-	}
-	return out, min(entryValidFor, r.settings.AddressValidFor)
-}
-
-// addresses returns the caller addresses of the members that are ready.
-func (r *Relay) addresses(members []bluebelldoor.MemberState) []string {
-	var out []string
-	for _, m := range members {
-		ready := m.Ready && !m.Leaving
-		if m.Name == r.settings.Name {
-			ready = r.serving()
-		}
-		if ready {
-			out = append(out, m.CallerAddress)
-		}
-	}
-	return out
-}
-
 // Exchange implements bluebelldoor.FleetHandler.
 func (r *Relay) Exchange(ctx context.Context, in *bluebelldoor.ExchangeMessage) (*bluebelldoor.ExchangeMessage, error) {
 	return r.gossiper.Exchange(ctx, in), nil
@@ -283,39 +180,3 @@
 func (r *Relay) Turn(ctx context.Context, in *bluebelldoor.TurnRequest) (*bluebelldoor.TurnReply, error) {
 	return r.turner.Turn(ctx, in), nil
 }
-
-// Drain is a planned stop: the VM is no longer named to callers, goes on
-// serving those that hold an old answer, and ends when they have gone or the
-// time is over. It returns how many requests were cut.
-func (r *Relay) Drain(ctx context.Context) int {
-	began := r.adapters.Clock.Now()
-	r.fire(leave)
-	r.log.Info("draining", "busy", r.acceptor.Busy())
-	r.acceptor.Leave()
-	r.gossiper.Hurry()
-	limit := r.settings.StopWithin - stopEarly
-	old := min(limit, oldAddressTimes*min(entryValidFor, r.settings.AddressValidFor))
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	quiet := began
-	for ctx.Err() == nil {
-		now := r.adapters.Clock.Now()
-		elapsed := now - began
-		if elapsed > time.Duration(float64(r.settings.StopWithin)*newStreamsFor) {
-			r.relayer.Leave()
-		}
-		if r.acceptor.Busy() > 0 {
-			quiet = now
-		}
-		if elapsed >= limit || elapsed >= old && now-quiet >= quietFor {
-			break
-		}
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-		}
-	}
-	cut := r.acceptor.Busy()
-	r.log.Info("drained", "cut", cut)
-	return cut
-}
--- /dev/null
+++ b/process/runner/stops_test.go
@@ -0,0 +1,149 @@
+package runner_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bluebelldoor/standin/lender"
+)
+
+// TestRelayCallerLeaves cancels the target's work within half a second.
+func TestRelayCallerLeaves(t *testing.T) {
+	f := startRelays(t, 1)
+	one := f.yard.Add("engine-1", "engine", "dc-0")
+	defer one.Stop()
+	app := f.yard.Add("app-1", "app", "dc-0")
+	defer app.Stop()
+	f.settle(t)
+	ended := make(chan struct{})
+	one.Acts(func(r *http.Request) lender.Act {
+		go func() {
+			<-r.Context().Done()
+			close(ended)
+		}()
+		return lender.Hang
+	})
+	conn, err := net.Dial("tcp", f.vms[0].settings.CallerAddress)
+	assert.NilError(t, err)
+	_, err = fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: %s\r\nAttempt-Id: gone\r\nAuthorization: Bearer %s\r\nToken-Count: 10,10\r\nContent-Length: 0\r\n\r\n", toStream, testHost, testKey)
+	assert.NilError(t, err)
+	await(t, "the target works", func() bool { return len(f.yard.Runs("gone")) == 1 })
+	assert.NilError(t, conn.Close())
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the target still works half a second after the caller has left")
+	}
+}
+
+// TestRelayTimeout gives the final answer when the caller's time is over.
+func TestRelayTimeout(t *testing.T) {
+	f := startRelays(t, 1)
+	app := f.yard.Add("app-1", "app", "dc-0")
+	defer app.Stop()
+	f.settle(t)
+	app.Acts(func(*http.Request) lender.Act { return lender.Hang })
+	got := f.vms[0].ask(t, "POST", toUnsafe+"x", "late", map[string]string{"Deadline-Ms": "400"})
+	assert.Equal(t, got.status, 504)
+	assert.Assert(t, got.took >= 380*time.Millisecond && got.took < 900*time.Millisecond, "after %s of 400 ms", got.took)
+}
+
+// TestRelayDrain stops a VM under callers: the directory no longer names it,
+// what it had taken is answered, and no request is cut.
+func TestRelayDrain(t *testing.T) {
+	f := startRelays(t, 3)
+	engine := f.yard.Add("engine-1", "engine", "dc-0")
+	defer engine.Stop()
+	app := f.yard.Add("app-1", "app", "dc-0")
+	defer app.Stop()
+	f.settle(t)
+	leaving := f.vms[0]
+	running := make(chan answer, 1)
+	go func() { running <- leaving.generate(t, toStream, "runs-on", 120) }()
+	await(t, "the stream runs", func() bool { return len(f.yard.Runs("runs-on")) == 1 })
+	drained := make(chan int, 1)
+	go func() { drained <- leaving.Drain(context.Background()) }()
+	await(t, "no directory names it", func() bool {
+		for _, r := range f.vms {
+			response, err := http.Get("http://" + r.settings.DirectoryAddress + "/-/resolve?name=x")
+			if err != nil {
+				return false
+			}
+			body, _ := io.ReadAll(response.Body)
+			response.Body.Close()
+			if strings.Contains(string(body), leaving.settings.CallerAddress) {
+				return false
+			}
+		}
+		return true
+	})
+	// A caller with an old answer is still served.
+	assert.Equal(t, leaving.ask(t, "POST", toUnsafe+"x", "old-answer", nil).status, 200)
+	oneRun(t, <-running, 120)
+	assert.Equal(t, <-drained, 0)
+}
+
+// TestRelayCrowded refuses long generations at once when the engines are full,
+// tells when to come back, and does not refuse those that have come back.
+func TestRelayCrowded(t *testing.T) {
+	f := startRelays(t, 1)
+	engine := f.yard.Add("engine-1", "engine", "dc-0")
+	defer engine.Stop()
+	app := f.yard.Add("app-1", "app", "dc-0")
+	defer app.Stop()
+	f.settle(t)
+	vm := f.vms[0]
+	engine.Acts(func(*http.Request) lender.Act { return lender.Slow })
+	const running = 3
+	full := make(chan answer, running)
+	for i := range running {
+		go func() {
+			full <- vm.ask(t, "POST", toStream, fmt.Sprintf("full-%d", i), map[string]string{"Token-Count": "11000,300", "Length-Hint": "500", "Deadline-Ms": "20000"})
+		}()
+	}
+	await(t, "the engine is full", func() bool {
+		return len(f.yard.Runs("full-0"))+len(f.yard.Runs("full-1"))+len(f.yard.Runs("full-2")) == running
+	})
+	long := map[string]string{"Token-Count": "4000,300", "Length-Hint": "500", "Deadline-Ms": "20000"}
+	got := vm.ask(t, "POST", toStream, "refused", long)
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, got.took < 200*time.Millisecond)
+	assert.Equal(t, len(f.yard.Runs("refused")), 0)
+	var after float64
+	_, err := fmt.Sscan(got.header.Get("Retry-After"), &after)
+	assert.NilError(t, err)
+	assert.Assert(t, after > 1 && after <= 20.0/3, "come back after %v of 20 s", after)
+	short := map[string]string{"Token-Count": "1000,3", "Length-Hint": "3", "Deadline-Ms": "20000"}
+	assert.Equal(t, vm.ask(t, "POST", toStream, "short", short).status, 200)
+	long["Deadline-Ms"] = "13000"
+	assert.Equal(t, vm.ask(t, "POST", toStream, "came-back", long).status, 200)
+	for range running {
+		<-full
+	}
+}
+
+// TestRelayReload takes changed settings into force while requests go on.
+func TestRelayReload(t *testing.T) {
+	f := startRelays(t, 1)
+	app := f.yard.Add("app-1", "app", "dc-0")
+	defer app.Stop()
+	f.settle(t)
+	f.store.SetMode(lender.Busy)
+	changed := *f.vms[0].settings
+	changed.KeyEvidence = time.Minute
+	f.vms[0].Reload(&changed)
+	time.Sleep(keyGrace + 300*time.Millisecond)
+	assert.Equal(t, f.vms[0].ask(t, "GET", toSafe+"x", "longer", nil).status, 200)
+	changed.KeyEvidence = keyGrace / 2
+	f.vms[0].Reload(&changed)
+	assert.Equal(t, f.vms[0].ask(t, "GET", toSafe+"x", "shorter", nil).status, 503)
+	f.store.SetMode(lender.Up)
+}
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -21,24 +19,6 @@
 	"bluebelldoor/request/placer"
 )
 
-const (
-	// comeBack is when a caller that was refused for want of something short
-	// may come back; callers cut it to a third of the time they have left.
-	comeBack = 300 * time.Millisecond
-	// maxUnrun bounds the targets that may refuse a request unrun before the
-	// caller is refused.
-	maxUnrun = 3
-	// maxUnsent bounds the targets of which none took a byte: a data centre of
-	// them may be dark.
-	maxUnsent = 10
-	// retryShare is the part of the budget that retries may use; the rest is
-	// kept for generations that move.
-	retryShare = 0.6
-	// newsFor is how old the evidence may be on which a request is told that
-	// its route or key does not exist.
-	newsFor = 2500 * time.Millisecond
-)
-
 // Settings are a VM's bounds on relayed requests.
 type Settings struct {
 	DataCentre string
@@ -162,80 +142,6 @@
 	j.run()
 }
 
-// admit finds route, client account, time and service, or refuses.
-func (j *job) admit() *bluebelldoor.Refusal {
-	view := j.sources.View()
-	routing := view.Routing()
-	age, proved := j.sources.Evidence()
-	if routing == nil || !proved {
-		return bluebelldoor.Refuse(bluebelldoor.ViewStale, "no routing has been read yet").WithRetryAfter(comeBack)
-	}
-	j.route = routing.Route(j.request.Host, j.request.Path)
-	if j.route == nil {
-		return j.unknown(age, bluebelldoor.UnknownRoute, "no route has this host and path")
-	}
-	j.priority = j.route.Priority
-	if routing.Keyed() && !j.route.Public {
-		if age > j.settings.Load().KeyEvidence {
-			return bluebelldoor.Refuse(bluebelldoor.ViewStale, "the platform has not confirmed the keys for "+age.Round(time.Millisecond).String()).WithRetryAfter(comeBack)
-		}
-		account := routing.Account(j.request.APIKey)
-		if account == nil {
-			return j.unknown(age, bluebelldoor.Unauthorized, "no client account holds this API key")
-		}
-		j.account = account.Account
-		if account.HasPriority {
-			j.priority = account.Priority
-		}
-	}
-	if j.leaving.Load() && j.route.Streamed {
-		return bluebelldoor.Refuse(bluebelldoor.Draining, "this VM is leaving").WithRetryAfter(comeBack / 10)
-	}
-	j.limitTime()
-	j.name = pickShare(j.route.Shares)
-	j.service = routing.Service(j.name)
-	if j.service == nil {
-		j.service = &bluebelldoor.ServiceKind{Name: j.name}
-	}
-	return nil
-}
-
-// unknown refuses what does not exist, or, where this VM may have missed that
-// it was added, what it can't judge.
-func (j *job) unknown(age time.Duration, code bluebelldoor.Code, detail string) *bluebelldoor.Refusal {
-	if age > newsFor {
-		return bluebelldoor.Refuse(bluebelldoor.ViewStale, detail+", by a view that is "+age.Round(time.Millisecond).String()+" old").WithRetryAfter(comeBack)
-	}
-	return bluebelldoor.Refuse(code, detail)
-}
-
-func (j *job) limitTime() {
-	limit := j.route.Timeout
-	if j.request.Within > 0 && (limit == 0 || j.request.Within < limit) {
-		limit = j.request.Within
-	}
-	if limit > 0 {
-		j.deadline = j.arrived + limit
-	}
-}
-
-func pickShare(shares []bluebelldoor.ServiceShare) string {
-	total := 0
-	for _, s := range shares {
-		total += max(0, s.Weight)
-	}
-	if total == 0 {
-		return shares[0].Service
-	}
-	n := rand.IntN(total)
-	for _, s := range shares {
-		if n -= max(0, s.Weight); n < 0 {
-			return s.Service
-		}
-	}
-	return shares[0].Service
-}
-
 // left returns what remains of the request's time.
 func (j *job) left() time.Duration {
 	if j.deadline == 0 {
@@ -311,139 +217,6 @@
 	j.refuse(bluebelldoor.Refuse(bluebelldoor.TargetTimeout, "the time is over and the target has not answered").WithExecuted(bluebelldoor.ExecutedUnknown))
 }
 
-// demand returns what the request needs of a target.
-func (j *job) demand() placer.Demand {
-	d := placer.Demand{DataCentre: j.settings.Load().DataCentre, Engine: j.service.Engine, ColdPerSecond: -1}
-	if j.route.Generates {
-		d.Tokens = j.request.PromptTokens + j.expected()
-	}
-	if j.service.ColdPerSecond > 0 {
-		d.ColdPerSecond = (j.service.ColdPerSecond*j.settings.Load().ColdFactor + j.settings.Load().ColdAllowance) * coldSafety * j.sources.Share()
-	}
-	return d
-}
-
-// coldSafety is taken off a cold target's rate, for requests on their way.
-const coldSafety = 0.7
-
-// expected returns how many tokens the generation is expected to make.
-func (j *job) expected() int {
-	switch hint, most := j.request.ExpectedTokens, j.request.MaxTokens; {
-	case hint == 0:
-		return most / 2
-	case most == 0:
-		return hint
-	default:
-		return min(hint, most)
-	}
-}
-
-// place chooses a target for the request and notes the request there, so that
-// the next one that is placed sees it.
-func (j *job) place() (*registrar.Target, *placer.Stay, *bluebelldoor.Refusal) {
-	now := j.clock.Now()
-	targets, candidates := j.candidates(now)
-	if len(targets) == 0 {
-		return nil, nil, bluebelldoor.Refuse(bluebelldoor.NoTarget, "no target of the service may take work").WithRetryAfter(comeBack)
-	}
-	demand := j.demand()
-	choice, stay, refusal := j.reserve(candidates, demand, now)
-	if refusal != nil {
-		return nil, nil, refusal
-	}
-	t := targets[choice.Index]
-	j.log.Info("target chosen", "id", j.request.ID, "target", t.ID, "dataCentre", t.DataCentre, "of", len(targets),
-		"cost", round(choice.Cost), "requests", choice.Requests, "tokens", choice.Tokens, "prefill", choice.Prefill,
-		"failures", round(choice.Failures), "coldMs", max(0, t.ColdUntil-now).Milliseconds(), "full", choice.Full)
-	return t, stay, nil
-}
-
-func (j *job) reserve(candidates []placer.Candidate, demand placer.Demand, now time.Duration) (placer.Choice, *placer.Stay, *bluebelldoor.Refusal) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	choice := j.ledger.Pick(candidates, demand, now, rand.Float64)
-	if choice.Index < 0 {
-		return choice, nil, bluebelldoor.Refuse(bluebelldoor.ColdTargets, "all targets are cold and have what they bear").WithRetryAfter(comeBack)
-	}
-	if refusal := j.crowded(choice); refusal != nil {
-		return choice, nil, refusal
-	}
-	chosen := candidates[choice.Index]
-	if chosen.Cold {
-		j.ledger.SentCold(chosen.Instance.ID, now)
-	}
-	return choice, j.ledger.Start(chosen.Instance.ID, demand.Tokens, j.request.PromptTokens), nil
-}
-
-// round keeps three decimals, for log lines.
-func round(f float64) float64 { return math.Round(f*1000) / 1000 }
-
-func (j *job) candidates(now time.Duration) ([]*registrar.Target, []placer.Candidate) {
-	view := j.sources.View()
-	var targets []*registrar.Target
-	var candidates []placer.Candidate
-	for _, t := range view.Serving(j.name) {
-		if !view.Open(t.Instance) || j.excluded[t.ID] {
-			continue
-		}
-		targets = append(targets, t)
-		candidates = append(candidates, placer.Candidate{Instance: t.Instance, Cold: now < t.ColdUntil, Lapsed: t.Lapsed})
-	}
-	return targets, candidates
-}
-
-// permit is the last check before bytes leave for a target.
-func (j *job) permit(t *registrar.Target) error {
-	view := j.sources.View()
-	if !view.Open(t.Instance) {
-		return errClosed
-	}
-	if j.call.Begun() {
-		return nil
-	}
-	return j.stillAllowed(view)
-}
-
-// stillAllowed checks route and key once more: the view may have changed while
-// a connection was opened, or the VM may have been suspended.
-func (j *job) stillAllowed(view *registrar.View) error {
-	routing := view.Routing()
-	if !routing.Allows(j.request.Host, j.request.Path, j.name) {
-		return errClosed
-	}
-	if j.account == "" {
-		return nil
-	}
-	if age, _ := j.sources.Evidence(); age > j.settings.Load().KeyEvidence {
-		return errClosed
-	}
-	if account := routing.Account(j.request.APIKey); account == nil || account.Account != j.account {
-		return errClosed
-	}
-	return nil
-}
-
-// outgoing returns the request as it goes to a target.
-func (j *job) outgoing(t *registrar.Target, resumeAfter, copied string) *exchanger.Outgoing {
-	return &exchanger.Outgoing{
-		ID:     j.request.ID,
-		Method: j.request.HTTP.Method,
-		URI:    j.request.HTTP.RequestURI,
-		Host:   j.request.Host,
-		Header: j.Codec.Head(j.request, bluebelldoor.Dispatch{
-			Target:      t.Instance,
-			Left:        j.left(),
-			Account:     j.account,
-			Priority:    j.priority,
-			ResumeAfter: resumeAfter,
-			Copy:        copied,
-		}),
-		Body:   j.request.Body,
-		Fresh:  !j.route.Repeatable(),
-		Permit: func() error { return j.permit(t) },
-	}
-}
-
 // mayRepeat reports whether the request may go to a further target although an
 // earlier one may have run it.
 func (j *job) mayRepeat() bool {
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -12,9 +13,23 @@
 	"bluebelldoor/request/placer"
 )
 
-// maxBuffered is the size up to which an answer is read whole before the
-// caller gets it, so that one that breaks off can still be replaced.
-const maxBuffered = 256 << 10
+const (
+	// comeBack is when a caller that was refused for want of something short
+	// may come back; callers cut it to a third of the time they have left.
+	comeBack = 300 * time.Millisecond
+	// maxUnrun bounds the targets that may refuse a request unrun before the
+	// caller is refused.
+	maxUnrun = 3
+	// maxUnsent bounds the targets of which none took a byte: a data centre of
+	// them may be dark.
+	maxUnsent = 10
+	// retryShare is the part of the budget that retries may use; the rest is
+	// kept for generations that move.
+	retryShare = 0.6
+	// maxBuffered is the size up to which an answer is read whole before the
+	// caller gets it, so that one that breaks off can still be replaced.
+	maxBuffered = 256 << 10
+)
 
 var (
 	errClosed    = errors.New("the target takes no new work, or the request is no longer allowed")
