A life cycle for moves; leave no load behind

Cause: a move whose first copy failed as its stream ended, or that a stream did not wait for, left its load on the destination, which then looked fuller than it was until it left.

--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -83,28 +83,30 @@
 	if j.service.Engine == nil || !j.service.Engine.Moves || !s.awaitBegin(t) {
 		return
 	}
+	life := j.newLife()
 	tokens := j.request.PromptTokens + s.progress()*j.service.Engine.TokensPerEvent
 	release := j.Turns.Acquire(j.ctx, t.ID, j.request.ID, tokens)
 	defer release()
+	life.step(turnCame)
 	tried := map[string]bool{t.ID: true}
 	for range moveTries {
 		if !s.at(t) || j.ctx.Err() != nil {
+			life.step(streamEnded)
 			return
 		}
 		destination, stay, giveBack := j.freeDestination(t, tried, tokens)
 		if destination == nil {
-			j.Metrics.Moved("noRoom")
-			j.log.Warn("no engine can take a generation", "id", j.request.ID, "source", t.ID, "tokens", tokens)
-			return
+			break
 		}
-		done := j.copyTo(s, t, destination, stay)
+		j.copyTo(s, t, destination, stay, life)
 		giveBack()
-		if done {
+		if life.over() {
 			return
 		}
-		j.end(stay)
 		tried[destination.ID] = true
 	}
+	life.step(noDestination)
+	j.log.Warn("no engine can take a generation", "id", j.request.ID, "source", t.ID, "tokens", tokens, "tried", len(tried)-1)
 }
 
 func (s *stream) awaitBegin(t *registrar.Target) bool {
@@ -163,42 +165,55 @@
 	return targets[choice.Index], j.ledger.Start(targets[choice.Index].ID, max(tokens, demand.Tokens), 0)
 }
 
-// copyTo copies a generation to a destination and reports whether there is
-// nothing left to do.
-func (j *job) copyTo(s *stream, source, destination *registrar.Target, stay *placer.Stay) bool {
+// copyTo copies a generation to a destination. The stay there ends with it
+// unless the stream goes on there.
+func (j *job) copyTo(s *stream, source, destination *registrar.Target, stay *placer.Stay, life *life) {
 	began := j.clock.Now()
 	first, err := j.copy(source, destination, false)
 	if err != nil {
-		return j.copyFailed(s, source, destination, err)
+		j.end(stay)
+		j.log.Warn("first copy failed", "id", j.request.ID, "source", source.ID, "target", destination.ID, "error", err)
+		life.step(firstFailed)
+		return
 	}
 	took := j.clock.Now() - began
 	m := &move{done: make(chan struct{}), target: destination, stay: stay}
-	s.mu.Lock()
-	running := !s.ended && s.move == nil && s.target.ID == source.ID
-	if running {
-		s.move = m
-	}
-	s.mu.Unlock()
-	if !running {
-		j.free(source, first.Handle)
+	if !s.startMove(m, source) {
 		j.end(stay)
-		return true
+		j.free(source, first.Handle)
+		life.step(streamEnded)
+		return
 	}
+	life.step(firstCopied)
 	defer close(m.done)
 	last, err := j.copy(source, destination, true)
 	var failed *bluebelldoor.CopyError
 	switch {
 	case err == nil:
 		m.copied = last.Copy
+		life.step(lastCopied)
 	case errors.As(err, &failed) && failed.Stopped != "":
-		m.copied, m.target = failed.Stopped, source
+		j.end(stay)
+		m.copied, m.target, m.stay = failed.Stopped, source, nil
+		life.step(keptAtSource)
 	default:
-		j.log.Warn("last copy failed", "id", j.request.ID, "source", source.ID, "target", destination.ID, "error", err)
-		j.Metrics.Moved("lastCopyFailed")
 		j.end(stay)
+		j.log.Warn("last copy failed", "id", j.request.ID, "source", source.ID, "target", destination.ID, "error", err)
+		life.step(lastFailed)
 	}
 	j.log.Info("generation copied", "id", j.request.ID, "source", source.ID, "target", destination.ID,
 		"firstMs", took.Milliseconds(), "bothMs", (j.clock.Now() - began).Milliseconds(), "events", last.Events, "copied", m.copied)
+}
+
+// startMove makes the stream go on from a move when its source ends it, and
+// reports whether the stream still runs there.
+func (s *stream) startMove(m *move, source *registrar.Target) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended || s.move != nil || s.target.ID != source.ID {
+		return false
+	}
+	s.move = m
 	return true
 }
 
@@ -214,13 +229,6 @@
 	}
 }
 
-// copyFailed handles a first copy that failed; the generation runs on.
-func (j *job) copyFailed(s *stream, source, destination *registrar.Target, err error) bool {
-	j.log.Warn("first copy failed", "id", j.request.ID, "source", source.ID, "target", destination.ID, "error", err)
-	j.Metrics.Moved("firstCopyFailed")
-	return !s.at(source)
-}
-
 // free drops a copy that is not used. It is not bound to the request, whose
 // caller may have left.
 func (j *job) free(source *registrar.Target, handle string) {
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -130,7 +130,12 @@
 func (j *job) drop(s *stream) {
 	s.mu.Lock()
 	s.ended = true
+	m := s.move
 	s.mu.Unlock()
+	if m != nil {
+		// A move that the stream did not wait for.
+		j.end(m.stay)
+	}
 	j.mu.Lock()
 	delete(j.streams, s)
 	j.mu.Unlock()
@@ -256,6 +261,7 @@
 	case <-m.done:
 	default:
 		j.log.Warn("copy not ready in time", "id", j.request.ID, "source", source.ID)
+		j.end(m.stay)
 		return nil, nil
 	}
 	if m.copied == "" {
@@ -282,12 +288,12 @@
 	answer, err := j.Targets.Send(j.ctx, t.Instance, o)
 	if err != nil {
 		j.log.Warn("copy not resumed", "id", j.request.ID, "target", t.ID, "error", err)
-		j.Metrics.Moved("sendFailed")
+		j.Metrics.Moved("notResumed")
 		return nil
 	}
 	if status := answer.Response().StatusCode; status != 200 {
 		j.log.Warn("copy not resumed", "id", j.request.ID, "target", t.ID, "status", status)
-		j.Metrics.Moved("refused")
+		j.Metrics.Moved("notResumed")
 		answer.Close()
 		return nil
 	}
@@ -303,7 +309,7 @@
 }
 
 // permitCopy lets a generation go on where its copy is, unless that target
-// leaves or is out of service. The source itself may go on while it lives.
+// leaves or is out of service by now.
 func (j *job) permitCopy(t *registrar.Target) error {
 	if j.sources.View().Open(t.Instance) {
 		return nil
