Bound the bodies that are held; judge 'not found' by the deployment's bound

A VM holds 32 MB of bodies above 64 KB at most and refuses more with 503; a caller whose request is not taken gets that answer although its body is under way. Routes and keys that are not known are refused with 404 and 401 only on evidence younger than four fifths of the time in which a version is in force, read from the settings; it was a constant of 2.5 s, above the 2 s of today's deployments.

--- a/cmd/bluebelldoor/soak_test.go
+++ b/cmd/bluebelldoor/soak_test.go
@@ -206,7 +206,7 @@
 			"name": v.name, "dataCentre": dataCentre(i), "callerAddress": v.caller, "readyAddress": freeAddress(s.t),
 			"directoryAddress": v.directory, "peerAddress": peer, "opsAddress": freeAddress(s.t), "catalogue": l.Address(),
 			"seeds": seeds[:min(len(seeds), 3)], "memoryMegabytes": 512, "cpuShare": 1, "cores": 1, "stopWithin": stopWithin.String(),
-			"addressValidFor": "500ms", "keyEvidence": keyGrace.String(), "retryWindow": "10s", "retryRatio": 0.2, "retryAllowance": 50,
+			"addressValidFor": "500ms", "keyEvidence": keyGrace.String(), "newsWithin": "2s", "retryWindow": "10s", "retryRatio": 0.2, "retryAllowance": 50,
 			"coldFactor": 1.5, "coldAllowance": 5,
 		})
 		assert.NilError(s.t, err)
--- a/connection/acceptor/acceptor.go
+++ b/connection/acceptor/acceptor.go
@@ -26,10 +26,20 @@
 	defaultBody   = 4 << 20
 	// bodyTimeout bounds how long a body may pause while it is read.
 	bodyTimeout = 10 * time.Second
+	// lingerTime and lingerBytes bound what is read of a caller that was
+	// rejected before its body was in.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 8 << 20
 	// writeTimeout bounds how long a caller may take no bytes of an answer.
 	writeTimeout = 10 * time.Second
 )
 
+// maxHeld bounds the bodies that are held at once; small ones do not count.
+const (
+	maxHeld   = 32 << 20
+	smallBody = 64 << 10
+)
+
 // Handler answers one request. It must end the call with Respond, or with
 // Begin and Finish or Abort.
 type Handler func(ctx context.Context, call *Call)
@@ -41,6 +51,7 @@
 	listener net.Listener
 	leaving  atomic.Bool
 	busy     atomic.Int64
+	held     atomic.Int64
 	mu       sync.Mutex
 	conns    map[*connection]struct{}
 }
@@ -117,10 +128,28 @@
 	owner  *Acceptor
 	conn   net.Conn
 	reader *bufio.Reader
+	held   int64
+}
+
+// hold counts the bytes of a body, and reports whether there is room for them.
+func (c *connection) hold(n int) bool {
+	if n <= smallBody {
+		return true
+	}
+	more := int64(n) - c.held
+	c.held = int64(n)
+	return c.owner.held.Add(more) <= maxHeld
+}
+
+// release gives the room of a body back.
+func (c *connection) release() {
+	c.owner.held.Add(-c.held)
+	c.held = 0
 }
 
 func (c *connection) serve() {
 	defer func() {
+		c.release()
 		c.conn.Close()
 		c.owner.mu.Lock()
 		delete(c.owner.conns, c)
@@ -169,6 +198,7 @@
 	call := &Call{conn: c, Request: request, Body: body, idle: limits.IdleTimeout}
 	call.close = request.Close || request.ProtoMinor == 0
 	c.owner.handler(ctx, call)
+	c.release()
 	if !call.kept() {
 		c.conn.Close()
 		<-watched
@@ -233,6 +263,9 @@
 		if len(body) > limit {
 			return nil, http.StatusRequestEntityTooLarge
 		}
+		if !c.hold(len(body)) {
+			return nil, http.StatusServiceUnavailable
+		}
 		switch {
 		case err == io.EOF:
 			return body, 0
@@ -244,8 +277,17 @@
 	}
 }
 
-// reject answers a request that was not taken, and closes.
+// reject answers a request that was not taken, and closes. What the caller
+// still sends is read for a while: a connection that is closed with bytes unread
+// is reset, and the answer lost with it.
 func (c *connection) reject(status int) {
 	call := &Call{conn: c, close: true}
-	_ = call.Respond(status, http.Header{}, nil)
+	if call.Respond(status, http.Header{}, nil) != nil {
+		return // the caller has left
+	}
+	tcp, ok := c.conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, tcp, lingerBytes) // its end is the caller's
 }
--- a/connection/acceptor/acceptor_test.go
+++ b/connection/acceptor/acceptor_test.go
@@ -163,3 +163,45 @@
 		assert.Equal(t, response.Close, leaving)
 	}
 }
+
+// TestHeldBodies refuses large bodies that would not fit beside those held, and
+// takes them again when there is room.
+func TestHeldBodies(t *testing.T) {
+	const size = 10 << 20
+	release, taken := make(chan struct{}), make(chan struct{}, 4)
+	_, address := start(t, bluebelldoor.CallerLimits{BodyBytes: size}, func(_ context.Context, call *acceptor.Call) {
+		taken <- struct{}{}
+		<-release
+		_ = call.Respond(200, http.Header{}, nil)
+	})
+	send := func() (*http.Response, error) {
+		conn := dial(t, address)
+		go func() {
+			_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10485760\r\n\r\n")
+			_, _ = conn.Write(make([]byte, size))
+		}()
+		return http.ReadResponse(bufio.NewReader(conn), nil)
+	}
+	statuses := make(chan int, 3)
+	for range 3 {
+		go func() {
+			response, err := send()
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			statuses <- response.StatusCode
+		}()
+		<-taken
+	}
+	response, err := send()
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 503)
+	close(release)
+	for range 3 {
+		assert.Equal(t, <-statuses, 200)
+	}
+	response, err = send()
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+}
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -22,9 +22,13 @@
 	"bluebelldoor/request/relayer"
 )
 
-// keyMargin is the part of a taken key's grace within which this VM's evidence
-// must lie; the rest is for requests on their way.
-const keyMargin = 0.75
+const (
+	// keyMargin is the part of a taken key's grace within which this VM's
+	// evidence must lie; the rest is for requests on their way.
+	keyMargin = 0.75
+	// newsMargin is the same for the time within which a version is in force.
+	newsMargin = 0.8
+)
 
 // RelayAdapters reach what lies outside a VM that relays.
 type RelayAdapters struct {
@@ -111,6 +115,7 @@
 	return relayer.Settings{
 		DataCentre:    s.DataCentre,
 		KeyEvidence:   time.Duration(float64(s.KeyEvidence) * keyMargin),
+		News:          time.Duration(float64(s.NewsWithin) * newsMargin),
 		ColdFactor:    s.ColdFactor,
 		ColdAllowance: s.ColdAllowance,
 	}
--- a/relaysettings.go
+++ b/relaysettings.go
@@ -35,6 +35,8 @@
 	AddressValidFor time.Duration
 	// KeyEvidence is how long a key that was taken away may still be used.
 	KeyEvidence time.Duration
+	// NewsWithin is how soon a new version is to be in force.
+	NewsWithin time.Duration
 	// RetryWindow, RetryRatio and RetryAllowance bound the repeated sends of
 	// all VMs together: the ratio to requests, and what may be added to it.
 	RetryWindow    time.Duration
--- a/request/relayer/admit.go
+++ b/request/relayer/admit.go
@@ -8,10 +8,6 @@
 	"bluebelldoor/process/registrar"
 )
 
-// newsFor is how old the evidence may be on which a request is told that its
-// route or key does not exist.
-const newsFor = 2500 * time.Millisecond
-
 // admit finds route, client account, time and service, or refuses.
 func (j *job) admit() *bluebelldoor.Refusal {
 	view := j.sources.View()
@@ -53,7 +49,7 @@
 // unknown refuses what does not exist, or, where this VM may have missed that
 // it was added, what it can't judge.
 func (j *job) unknown(age time.Duration, code bluebelldoor.Code, detail string) *bluebelldoor.Refusal {
-	if age > newsFor {
+	if age > j.settings.Load().News {
 		return bluebelldoor.Refuse(bluebelldoor.ViewStale, detail+", by a view that is "+age.Round(time.Millisecond).String()+" old").WithRetryAfter(comeBack)
 	}
 	return bluebelldoor.Refuse(code, detail)
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -24,6 +24,9 @@
 	DataCentre string
 	// KeyEvidence is how old the proof may be that a key is still valid.
 	KeyEvidence time.Duration
+	// News is how old the evidence may be on which a request is told that its
+	// route or key does not exist.
+	News time.Duration
 	// ColdFactor times a cold target's rate, and ColdAllowance beside it, is
 	// what all VMs together may send it in a second.
 	ColdFactor    float64
--- a/version/parser/relay.go
+++ b/version/parser/relay.go
@@ -24,6 +24,7 @@
 	"stopWithin":       span(time.Second, time.Hour).must(),
 	"addressValidFor":  span(0, time.Hour).must(),
 	"keyEvidence":      span(100*time.Millisecond, time.Hour).must(),
+	"newsWithin":       span(100*time.Millisecond, time.Hour).must(),
 	"retryWindow":      span(time.Second, time.Hour).must(),
 	"retryRatio":       schema{kind: number, max: 100}.must(),
 	"retryAllowance":   schema{kind: number, max: 1 << 20}.must(),
@@ -49,6 +50,7 @@
 	StopWithin       string   `json:"stopWithin"`
 	AddressValidFor  string   `json:"addressValidFor"`
 	KeyEvidence      string   `json:"keyEvidence"`
+	NewsWithin       string   `json:"newsWithin"`
 	RetryWindow      string   `json:"retryWindow"`
 	RetryRatio       float64  `json:"retryRatio"`
 	RetryAllowance   float64  `json:"retryAllowance"`
@@ -84,6 +86,7 @@
 		StopWithin:       parsed(w.StopWithin, 0),
 		AddressValidFor:  parsed(w.AddressValidFor, 0),
 		KeyEvidence:      parsed(w.KeyEvidence, 0),
+		NewsWithin:       parsed(w.NewsWithin, 0),
 		RetryWindow:      parsed(w.RetryWindow, 0),
 		RetryRatio:       w.RetryRatio,
 		RetryAllowance:   w.RetryAllowance,
--- a/version/parser/relay_test.go
+++ b/version/parser/relay_test.go
@@ -17,7 +17,7 @@
 const relaySettings = `{
   "name": "vm-1", "dataCentre": "ate", "callerAddress": "10.0.0.1:1", "readyAddress": "10.0.0.1:2", "directoryAddress": "10.0.0.1:3",
   "peerAddress": "10.0.0.1:4", "opsAddress": "10.0.0.1:5", "catalogue": "10.0.0.9:1", "seeds": ["10.0.0.1:4", "10.0.0.2:4"],
-  "memoryMegabytes": 134, "cpuShare": 0.4, "cores": 1, "stopWithin": "8s", "addressValidFor": "5s", "keyEvidence": "5000ms",
+  "memoryMegabytes": 134, "cpuShare": 0.4, "cores": 1, "stopWithin": "8s", "addressValidFor": "5s", "keyEvidence": "5000ms", "newsWithin": "2000ms",
   "retryWindow": "10s", "retryRatio": 0.2, "retryAllowance": 52, "coldFactor": 1.5, "coldAllowance": 5, // the end
 }`
 
