--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	// dialTimeout is a caller's own patience with a new connection.
-	dialTimeout = time.Second
+	// dialTimeout bounds a new connection: many round trips between data
+	// centres, and a part of the shortest deadline, so that another target can
+	// be tried. A lost first packet is sent again only after a second.
+	dialTimeout = 250 * time.Millisecond
 	// unackedTimeout ends a connection whose peer acknowledges nothing, as
 	// behind a partition.
 	unackedTimeout = 2 * time.Second
--- a/connection/exchanger/exchanger_test.go
+++ b/connection/exchanger/exchanger_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"bluebelldoor"
@@ -251,3 +252,38 @@
 		t.Fatal("the target still has the connection")
 	}
 }
+
+// full returns an address whose queue of new connections is full, so that the
+// first packet of another is dropped.
+func full(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	assert.NilError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	assert.NilError(t, unix.Listen(fd, 0))
+	name, err := unix.Getsockname(fd)
+	assert.NilError(t, err)
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+	for range 4 {
+		conn, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
+		if err != nil {
+			break
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	return address
+}
+
+// TestNoConnection gives up a target that takes no connection in a part of the
+// shortest deadline, one second, so that others can be tried.
+func TestNoConnection(t *testing.T) {
+	x, stop := exchanger.New(platform.Codec{})
+	defer stop()
+	began := time.Now()
+	_, err := x.Send(context.Background(), &bluebelldoor.Instance{ID: "t", Address: full(t)}, outgoing("r1", true))
+	var failed *bluebelldoor.SendError
+	assert.Assert(t, errors.As(err, &failed))
+	assert.Equal(t, failed.Executed, bluebelldoor.ExecutedNo)
+	assert.Assert(t, time.Since(began) < 700*time.Millisecond, "after %s", time.Since(began))
+}
