Late events weigh in a choice

Ruled out: failures (streams were whole), loads. Late events of a target, and of a data centre that is not the VM's, raise the cost for some seconds.

--- a/request/placer/ledger.go
+++ b/request/placer/ledger.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"time"
 
 	"bluebelldoor"
@@ -13,6 +14,9 @@
 	// unreachableFor is how long a target that takes no connection goes last;
 	// then it is tried again.
 	unreachableFor = time.Second
+	// stallHalfLife is how fast late events are forgotten; disturbed links and
+	// slow targets last for seconds.
+	stallHalfLife = 2 * time.Second
 	// peerStale is the age at which a peer's loads no longer count; they come
 	// several times a second.
 	peerStale = 3 * time.Second
@@ -34,6 +38,8 @@
 	sums     map[string]load
 	dirty    bool
 	cold     map[string][]time.Duration
+	// stalls count late events by target and by data centre.
+	stalls map[string]fading
 	// unreachable is when a target last took no connection.
 	unreachable map[string]time.Duration
 }
@@ -53,6 +59,7 @@
 		cold:     map[string][]time.Duration{},
 
 		unreachable: map[string]time.Duration{},
+		stalls:      map[string]fading{},
 	}
 }
 
@@ -134,11 +141,33 @@
 	return noted && now-at < unreachableFor
 }
 
+// fading is a count of which half is forgotten in each stallHalfLife.
+type fading struct {
+	at    time.Duration
+	count float64
+}
+
+func (f fading) now(now time.Duration) float64 {
+	return f.count * math.Exp2(-float64(now-f.at)/float64(stallHalfLife))
+}
+
+// Stall notes that events of a target came late: it may be slow, or the links
+// to its data centre lose packets.
+func (l *Ledger) Stall(target, dataCentre string, now time.Duration) {
+	for _, key := range []string{target, stallsOf(dataCentre)} {
+		l.stalls[key] = fading{now, l.stalls[key].now(now) + 1}
+	}
+}
+
+// stallsOf is the key under which the stalls of a data centre are counted.
+func stallsOf(dataCentre string) string { return "dataCentre/" + dataCentre }
+
 // Forget drops what is known of a target that is gone.
 func (l *Ledger) Forget(target string) {
 	delete(l.failures, target)
 	delete(l.cold, target)
 	delete(l.unreachable, target)
+	delete(l.stalls, target)
 }
 
 // Own returns this VM's loads, for its peers.
--- a/request/placer/load_test.go
+++ b/request/placer/load_test.go
@@ -280,6 +280,29 @@
 			placer.Demand{Tokens: 3000, Engine: kind},
 			0,
 		},
+		"a target whose events are late": {
+			placer.Candidate{Instance: instance("a", "x")},
+			placer.Candidate{Instance: instance("b", "x")},
+			func(l *placer.Ledger) {
+				l.Stall("b", "x", 0)
+				l.Stall("b", "x", 0)
+				l.Start("a", 6000, 0)
+			},
+			placer.Demand{Tokens: 3000, Engine: kind, DataCentre: "x"},
+			0,
+		},
+		"a data centre behind links that lose packets": {
+			placer.Candidate{Instance: instance("a", "x")},
+			placer.Candidate{Instance: instance("b", "y")},
+			func(l *placer.Ledger) {
+				for i := range 12 {
+					l.Stall(fmt.Sprint(i), "y", 0)
+				}
+				l.Start("a", 12000, 0)
+			},
+			placer.Demand{Tokens: 3000, Engine: kind, DataCentre: "x"},
+			0,
+		},
 		"a lapsed entry": {
 			placer.Candidate{Instance: instance("a", "x"), Lapsed: true},
 			placer.Candidate{Instance: instance("b", "x")},
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -29,6 +29,11 @@
 	fullCost = 100
 	// unreachableCost weighs a target that took no connection of late.
 	unreachableCost = 50
+	// targetStallCost weighs a late event of a target, awayStallCost one of its
+	// data centre, if it is not the VM's; together at most maxStallCost.
+	targetStallCost = 0.3
+	awayStallCost   = 0.1
+	maxStallCost    = 2
 	// overCost weighs generations that together may come to need twice a
 	// target's memory. They need it only if they are long at the same time.
 	overCost = 30
@@ -104,6 +109,7 @@
 			continue
 		}
 		cost, full := l.cost(c, d, usual)
+		cost += l.stallCost(c, d, now)
 		if l.isUnreachable(c.Instance.ID, now) {
 			cost += unreachableCost
 		}
@@ -166,6 +172,16 @@
 	return cost, full
 }
 
+// stallCost weighs late events: those of the target, and, from another data
+// centre, those of all targets there.
+func (l *Ledger) stallCost(c Candidate, d Demand, now time.Duration) float64 {
+	cost := targetStallCost * l.stalls[c.Instance.ID].now(now)
+	if c.Instance.DataCentre != d.DataCentre {
+		cost += awayStallCost * l.stalls[stallsOf(c.Instance.DataCentre)].now(now)
+	}
+	return min(cost, maxStallCost)
+}
+
 // coldRoom reports whether this VM may send a cold target another request.
 func (l *Ledger) coldRoom(target string, perSecond float64, now time.Duration) bool {
 	if perSecond < 0 {
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -42,6 +42,8 @@
 	// when the first and the last event left, and the longest time between.
 	first, last, pause time.Duration
 	pauseAfter         string
+	// resumed tells that the next event is the first after a move.
+	resumed bool
 }
 
 // move is a last copy under way: the engine ends the stream, which goes on
@@ -118,6 +120,7 @@
 			s.abort(err)
 			return
 		}
+		s.resumed = true
 		answer, stay = s.goOn(err)
 		if answer == nil {
 			s.abort(err)
@@ -188,7 +191,19 @@
 	} else if now-s.last > s.pause {
 		s.pause, s.pauseAfter = now-s.last, s.events.lastID
 	}
+	late := s.last > 0 && s.job.route.MaxPause > 0 && now-s.last > s.job.route.MaxPause
 	s.last = now
+	if late && !s.resumed {
+		s.job.stalled(s.target, now)
+	}
+	s.resumed = false
+}
+
+// stalled notes that an event of a target came later than the route allows.
+func (j *job) stalled(t *registrar.Target, now time.Duration) {
+	j.mu.Lock()
+	j.ledger.Stall(t.ID, t.DataCentre, now)
+	j.mu.Unlock()
 }
 
 // times returns the fields of a log line on the stream's pace.
