Tests: share flags between goroutines by atomics

The race detector found two tests whose stand-ins were changed while the code under test read them (TestLastCheckOfCalls, the registrar's). The code itself was not in the reports.

--- a/process/executor/send_test.go
+++ b/process/executor/send_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,12 +34,12 @@
 // platform answers until it is down.
 type platform struct {
 	bluebelldoor.Configuration
-	down bool
+	down atomic.Bool
 	text []byte
 }
 
 func (p *platform) Read(ctx context.Context, after uint64, wait time.Duration) (bluebelldoor.Publication, error) {
-	if p.down {
+	if p.down.Load() {
 		<-ctx.Done()
 		return bluebelldoor.Publication{}, ctx.Err()
 	}
@@ -50,7 +51,7 @@
 }
 
 func (p *platform) List(ctx context.Context) (*bluebelldoor.VMList, error) {
-	if p.down {
+	if p.down.Load() {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -94,7 +95,7 @@
 					settings: bluebelldoor.NewSettings(bluebelldoor.SettingsSpec{Name: "vm-0", DataCentre: "a"}),
 					control:  control, applications: applications, journal: recorder.NewJournal(), log: hclog.NewNullLogger(),
 				}
-				source.down = true
+				source.down.Store(true)
 				out := x.send(t.Context(), "desk", bluebelldoor.Call{ID: "1"}, time.Now().Add(time.Minute))
 				assert.Equal(t, applications.sent, c.sent)
 				assert.Equal(t, out.Refusal == nil, c.sent == 1)
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,10 +23,12 @@
 // steady is a clock for tests in virtual time; it may jump over a suspension.
 type steady struct {
 	start time.Time
-	extra time.Duration
+	extra atomic.Int64
 }
 
-func (s *steady) Now() time.Duration { return time.Since(s.start) + s.extra + time.Second }
+func (s *steady) Now() time.Duration {
+	return time.Since(s.start) + time.Duration(s.extra.Load()) + time.Second
+}
 
 // catalogue holds entries whose text says what they are: "v7" is routing,
 // "ready", "draining", "ready/2" (born) targets, "out" a data centre.
@@ -136,7 +140,15 @@
 type vm struct {
 	*registrar.Registrar
 	clock *steady
-	left  []string
+	mu    sync.Mutex
+	gone  []string
+}
+
+// left returns the targets that observers were told of.
+func (v *vm) left() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Clone(v.gone)
 }
 
 func start(t *testing.T, c bluebelldoor.Catalogue, reads bool) *vm {
@@ -147,7 +159,11 @@
 		Served:  func() bool { return false },
 		Changed: func() {},
 	}, hclog.NewNullLogger())
-	v.Observe(func(t *registrar.Target) { v.left = append(v.left, fmt.Sprintf("%s/%d", t.ID, t.Born)) })
+	v.Observe(func(t *registrar.Target) {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.gone = append(v.gone, fmt.Sprintf("%s/%d", t.ID, t.Born))
+	})
 	t.Cleanup(v.Start())
 	return v
 }
@@ -184,7 +200,7 @@
 					synctest.Wait()
 				}
 				assert.Equal(t, v.open("x"), c.open)
-				assert.DeepEqual(t, v.left, c.left)
+				assert.DeepEqual(t, v.left(), c.left)
 			})
 		})
 	}
@@ -214,7 +230,7 @@
 		store.put("out/dc", "out")
 		synctest.Wait()
 		assert.Assert(t, !v.open("x"))
-		assert.Equal(t, len(v.left), 0)
+		assert.Equal(t, len(v.left()), 0)
 		store.put("out/dc", "")
 		synctest.Wait()
 		assert.Assert(t, v.open("x"))
@@ -239,7 +255,7 @@
 		time.Sleep(time.Second)
 		assert.Assert(t, !v.open("x"))
 		assert.Assert(t, v.open("y"))
-		assert.DeepEqual(t, v.left, []string{"x/0"})
+		assert.DeepEqual(t, v.left(), []string{"x/0"})
 	})
 }
 
@@ -264,7 +280,7 @@
 		time.Sleep(3 * time.Second)
 		assert.Assert(t, v.open("x"))
 		assert.Assert(t, !v.open("y"), "kept for good")
-		assert.DeepEqual(t, v.left, []string{"y/0"})
+		assert.DeepEqual(t, v.left(), []string{"y/0"})
 	})
 }
 
@@ -279,7 +295,7 @@
 		time.Sleep(5 * time.Second)
 		age, proved := v.Evidence()
 		assert.Assert(t, proved && age < 2*time.Second, "%s", age)
-		v.clock.extra += 7 * time.Second
+		v.clock.extra.Add(int64(7 * time.Second))
 		age, _ = v.Evidence()
 		assert.Assert(t, age > 7*time.Second, "a suspension does not count: %s", age)
 		store.fail(errors.New("down"))
@@ -381,7 +397,7 @@
 		assert.Assert(t, v.open("x"), "an earlier start's word counts")
 		v.Leaves(t.Context(), &bluebelldoor.Instance{ID: "x", Born: 4})
 		assert.Assert(t, !v.open("x"))
-		assert.DeepEqual(t, v.left, []string{"x/4"})
+		assert.DeepEqual(t, v.left(), []string{"x/4"})
 	})
 }
 
