--- a/cmd/bluebelldoor/check.go
+++ b/cmd/bluebelldoor/check.go
@@ -13,6 +13,7 @@
 
 type checkCommand struct {
 	settings string
+	relay    string
 	document string
 }
 
@@ -20,9 +21,10 @@
 func (*checkCommand) Synopsis() string { return "check settings or a document and list all findings" }
 
 func (*checkCommand) Usage() string {
-	return `bluebelldoor check [-settings FILE] [-document FILE]
+	return `bluebelldoor check [-settings FILE] [-relay FILE] [-document FILE]
 
-Checks a VM's own settings, an operators' document, or both. Each finding is a
+Checks a VM's own settings, those of a VM that relays, an operators' document, or
+several of them. Each finding is a
 line with file:line:column, field, result code and reason. It does not ask any
 running VM.
 
@@ -34,11 +36,12 @@
 
 func (c *checkCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", "", "a VM's own settings")
+	f.StringVar(&c.relay, "relay", "", "the settings of a VM that relays")
 	f.StringVar(&c.document, "document", "", "the operators' document")
 }
 
 func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.settings == "" && c.document == "" {
+	if c.settings == "" && c.relay == "" && c.document == "" {
 		f.Usage()
 		return subcommands.ExitUsageError
 	}
@@ -64,6 +67,10 @@
 		_, err := parser.Settings(file, text)
 		return err
 	})
+	check(c.relay, func(file string, text []byte) error {
+		_, err := parser.RelaySettings(file, text)
+		return err
+	})
 	check(c.document, func(file string, text []byte) error {
 		_, err := parser.Document(file, text)
 		return err
--- a/cmd/bluebelldoor/relay.go
+++ b/cmd/bluebelldoor/relay.go
@@ -74,7 +74,7 @@
 		JSONFormat: true,
 	})
 	log.Info("starting", "settings", c.settings)
-	r, cleanUp, err := c.start(settings, log)
+	r, cleanUp, err := c.start(settings, sink, log)
 	if err != nil {
 		log.Error("start failed", "error", err)
 		return subcommands.ExitFailure
@@ -107,7 +107,7 @@
 	return err == nil && !bytes.Equal(text, c.text)
 }
 
-func (c *relayCommand) start(settings *bluebelldoor.RelaySettings, log hclog.Logger) (*runner.Relay, func(), error) {
+func (c *relayCommand) start(settings *bluebelldoor.RelaySettings, sink *recorder.Sink, log hclog.Logger) (*runner.Relay, func(), error) {
 	clock, err := timer.New()
 	if err != nil {
 		return nil, nil, err
@@ -122,6 +122,7 @@
 		Clock:          clock,
 		ServeReady:     platform.ServeReady,
 		ServeDirectory: platform.ServeDirectory,
+		DroppedLines:   sink.Dropped,
 	}, log)
 	if err != nil {
 		return nil, nil, err
--- a/connection/listener/operator.go
+++ b/connection/listener/operator.go
@@ -29,10 +29,11 @@
 	return server.Start(h, address)
 }
 
-// ServeMetrics listens at address for /metrics alone. It returns a clean-up
+// ServeStatus listens at address for /status and /metrics. It returns a clean-up
 // function.
-func ServeMetrics(address string, registry *prometheus.Registry) (func(), error) {
+func ServeStatus(address string, status func() any, registry *prometheus.Registry) (func(), error) {
 	h := server.New(address)
+	h.GET("/status", func(_ context.Context, c *app.RequestContext) { c.JSON(200, status()) })
 	h.GET("/metrics", metrics(registry))
 	return server.Start(h, address)
 }
--- a/process/recorder/relay.go
+++ b/process/recorder/relay.go
@@ -58,3 +58,32 @@
 
 // Moved counts a step of a generation that moves.
 func (m *RelayMetrics) Moved(outcome string) { m.moves.WithLabelValues(outcome).Inc() }
+
+// Gauges are what a VM believes and does at the moment.
+type Gauges struct {
+	RoutingVersion  float64
+	EvidenceSeconds float64
+	Members         float64
+	Hubs            float64
+	Requests        float64
+}
+
+// Watch shows gauges, read when the metrics are, and the log lines that were
+// dropped.
+func (m *RelayMetrics) Watch(read func() Gauges, dropped func() int64) {
+	for name, g := range map[string]struct {
+		help string
+		of   func(Gauges) float64
+	}{
+		"routing_version":      {"Version of the routing in force.", func(g Gauges) float64 { return g.RoutingVersion }},
+		"evidence_age_seconds": {"Age of the proof that what the VM holds was the newest, below 0 if there is none.", func(g Gauges) float64 { return g.EvidenceSeconds }},
+		"members":              {"VMs that are alive.", func(g Gauges) float64 { return g.Members }},
+		"hubs":                 {"VMs that serve callers.", func(g Gauges) float64 { return g.Hubs }},
+		"requests":             {"Requests under way on this VM.", func(g Gauges) float64 { return g.Requests }},
+	} {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: g.help}, func() float64 { return g.of(read()) }))
+	}
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that the output did not take in time.",
+	}, func() float64 { return float64(dropped()) }))
+}
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -39,6 +39,8 @@
 	Clock          bluebelldoor.Clock
 	ServeReady     func(address string, ready func() bool) (func(), error)
 	ServeDirectory func(address string, entry func(dataCentre string) ([]string, time.Duration)) (func(), error)
+	// DroppedLines returns how many log lines were dropped; nil for none.
+	DroppedLines func() int64
 }
 
 // Relay is the process of a VM that relays requests.
@@ -99,6 +101,10 @@
 		Metrics: r.metrics,
 	}, adapters.Clock, log.Named("relayer"))
 	r.registrar.Observe(r.relayer.Leaving)
+	if adapters.DroppedLines == nil {
+		adapters.DroppedLines = func() int64 { return 0 }
+	}
+	r.metrics.Watch(r.gauges, adapters.DroppedLines)
 	if err := r.listen(); err != nil {
 		r.cleanUp()
 		return nil, nil, err
@@ -141,7 +147,7 @@
 			return messenger.ServeFleet(r.settings.PeerAddress, []byte(r.settings.FleetSecret), r)
 		},
 		func() (func(), error) {
-			return listener.ServeMetrics(r.settings.OpsAddress, r.metrics.Registry())
+			return listener.ServeStatus(r.settings.OpsAddress, func() any { return r.Status() }, r.metrics.Registry())
 		},
 		func() (func(), error) { return r.adapters.ServeReady(r.settings.ReadyAddress, r.ready) },
 		func() (func(), error) { return r.adapters.ServeDirectory(r.settings.DirectoryAddress, r.entry) },
--- a/process/runner/stops_test.go
+++ b/process/runner/stops_test.go
@@ -147,3 +147,25 @@
 	assert.Equal(t, f.vms[0].ask(t, "GET", toSafe+"x", "shorter", nil).status, 503)
 	f.store.SetMode(lender.Up)
 }
+
+// TestRelayStatus shows operators what a VM believes.
+func TestRelayStatus(t *testing.T) {
+	f := startRelays(t, 3)
+	app := f.yard.Add("app-1", "app", "dc-0")
+	defer app.Stop()
+	f.settle(t)
+	await(t, "all know each other", func() bool { return len(f.vms[0].Status().Members) == 3 })
+	for path, wants := range map[string][]string{
+		"/status":  {`"life":"serving"`, `"routingVersion":1`, `"vm-1"`},
+		"/metrics": {"bluebelldoor_members 3", "bluebelldoor_routing_version 1", "bluebelldoor_log_lines_dropped_total 0", `bluebelldoor_answers_total{code="ok"}`},
+	} {
+		response, err := http.Get("http://" + f.vms[0].settings.OpsAddress + path)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		response.Body.Close()
+		for _, want := range wants {
+			assert.Assert(t, strings.Contains(string(body), want), "%s lacks %s", path, want)
+		}
+	}
+}
--- /dev/null
+++ b/request/relayer/events_test.go
@@ -0,0 +1,65 @@
+package relayer
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestEvents(t *testing.T) {
+	for name, c := range map[string]struct {
+		parts  []string
+		passed string
+		lastID string
+		count  int
+	}{
+		"one":                {[]string{"id: 1\ndata: a\n\n"}, "id: 1\ndata: a\n\n", "1", 1},
+		"two at once":        {[]string{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"}, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "2", 2},
+		"in pieces":          {[]string{"id: 1\nda", "ta: a\n", "\nid: 2"}, "id: 1\ndata: a\n\n", "1", 1},
+		"cut in its end":     {[]string{"id: 1\ndata: a\n\nid: 2\ndata: b\n"}, "id: 1\ndata: a\n\n", "1", 1},
+		"without an ID":      {[]string{"data: a\n\n"}, "data: a\n\n", "", 0},
+		"with a first field": {[]string{"weight-versions: 3\nid: 7\ndata: a\n\n"}, "weight-versions: 3\nid: 7\ndata: a\n\n", "7", 1},
+		"nothing":            {nil, "", "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var e events
+			passed := ""
+			for _, part := range c.parts {
+				whole := e.add([]byte(part))
+				passed += string(whole)
+				e.taken(len(whole))
+			}
+			assert.Equal(t, passed, c.passed)
+			assert.Equal(t, e.lastID, c.lastID)
+			assert.Equal(t, e.count, c.count)
+		})
+	}
+}
+
+// FuzzEvents passes on what came, in order and up to the end of an event,
+// however it is cut.
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3", 3)
+	f.Add("\n\n\n\n", 1)
+	f.Fuzz(func(t *testing.T, text string, size int) {
+		if size < 1 {
+			return
+		}
+		var e events
+		passed := ""
+		for rest := text; rest != ""; {
+			n := min(size, len(rest))
+			whole := e.add([]byte(rest[:n]))
+			passed += string(whole)
+			e.taken(len(whole))
+			rest = rest[n:]
+		}
+		if !strings.HasPrefix(text, passed) || passed+string(e.partial) != text {
+			t.Fatalf("%q became %q and %q", text, passed, e.partial)
+		}
+		if passed != "" && !strings.HasSuffix(passed, "\n\n") {
+			t.Fatalf("%q ends within an event", passed)
+		}
+	})
+}
