Codes and log lines for what can't be taken; a success must name its request

Found by reading the change as a newcomer: a message that is refused before it is a request had neither a log line nor a code; an unanswered question for a turn and a connection that could not be taken were not logged. Codes 112 and 212 are new.

--- a/code.go
+++ b/code.go
@@ -23,6 +23,7 @@
 	UnknownGeneration Code = 109
 	TooSlow           Code = 110
 	UnknownRoute      Code = 111
+	HeadTooLarge      Code = 112
 
 	AccountLimit    Code = 201
 	QueueFull       Code = 202
@@ -35,6 +36,7 @@
 	NoWitness       Code = 209
 	RetryBudget     Code = 210
 	EnginesCrowded  Code = 211
+	BodiesHeld      Code = 212
 
 	TargetLost      Code = 301
 	AnswerTruncated Code = 302
@@ -84,6 +86,7 @@
 	UnknownGeneration: {"unknownGeneration", 404, "the generation's identity is not valid for this client account"},
 	TooSlow:           {"tooSlow", 408, "the request did not arrive in time"},
 	UnknownRoute:      {"unknownRoute", 404, "no route of the routing in force has this host and path"},
+	HeadTooLarge:      {"headTooLarge", 431, "the request's head exceeds a size limit"},
 	AccountLimit:      {"accountLimit", 429, "the client account has reached its limit on this VM"},
 	QueueFull:         {"queueFull", 503, "the queue on this VM is full"},
 	DeadlineTooNear:   {"deadlineTooNear", 503, "the deadline can't be met at the present load"},
@@ -95,6 +98,7 @@
 	NoWitness:         {"noWitness", 503, "the key's witness did not confirm; the key is dead"},
 	RetryBudget:       {"retryBudget", 503, "the retry budget is used up"},
 	EnginesCrowded:    {"enginesCrowded", 503, "no engine could begin the generation in time"},
+	BodiesHeld:        {"bodiesHeld", 503, "this VM holds as many request bodies as it may"},
 	TargetLost:        {"targetLost", 502, "the target was lost after tokens were delivered"},
 	AnswerTruncated:   {"answerTruncated", 502, "the target's answer ended early"},
 	OutcomeUnknown:    {"outcomeUnknown", 502, "the call may or may not have run"},
--- a/connection/acceptor/acceptor.go
+++ b/connection/acceptor/acceptor.go
@@ -3,13 +3,16 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
 	"bluebelldoor"
@@ -38,6 +41,8 @@
 const (
 	maxHeld   = 32 << 20
 	smallBody = 64 << 10
+	// heldRetry is when a caller whose body found no room may come back.
+	heldRetry = 500 * time.Millisecond
 )
 
 // Handler answers one request. It must end the call with Respond, or with
@@ -48,6 +53,7 @@
 type Acceptor struct {
 	handler  Handler
 	limits   func() bluebelldoor.CallerLimits
+	log      hclog.Logger
 	listener net.Listener
 	leaving  atomic.Bool
 	busy     atomic.Int64
@@ -56,14 +62,23 @@
 	conns    map[*connection]struct{}
 }
 
+// Option changes an acceptor.
+type Option func(*Acceptor)
+
+// WithLog logs requests that are not taken.
+func WithLog(log hclog.Logger) Option { return func(a *Acceptor) { a.log = log } }
+
 // New listens on address. limits returns the bounds in force. The clean-up
 // function closes the listener and all connections.
-func New(address string, limits func() bluebelldoor.CallerLimits, handler Handler) (*Acceptor, func(), error) {
+func New(address string, limits func() bluebelldoor.CallerLimits, handler Handler, options ...Option) (*Acceptor, func(), error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "listen to callers on %s", address)
 	}
-	a := &Acceptor{handler: handler, limits: limits, listener: l, conns: map[*connection]struct{}{}}
+	a := &Acceptor{handler: handler, limits: limits, log: hclog.NewNullLogger(), listener: l, conns: map[*connection]struct{}{}}
+	for _, set := range options {
+		set(a)
+	}
 	go a.accept()
 	return a, a.stop, nil
 }
@@ -95,6 +110,7 @@
 		}
 		if err != nil {
 			// Out of descriptors: wait for connections to end.
+			a.log.Warn("no connection taken", "error", err)
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
@@ -173,9 +189,9 @@
 	if c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) != nil {
 		return false
 	}
-	request, body, status := c.read(limits)
-	if status != 0 {
-		c.reject(status)
+	request, body, refusal := c.read(limits)
+	if refusal != nil {
+		c.reject(refusal)
 		return false
 	}
 	if request == nil {
@@ -211,43 +227,47 @@
 	return true
 }
 
-// read takes a whole request off the connection. A status above 0 is why it
-// can't be taken; with neither request nor status the caller has left.
-func (c *connection) read(limits bluebelldoor.CallerLimits) (*http.Request, []byte, int) {
+// read takes a whole request off the connection, or tells why it can't be
+// taken. With neither request nor refusal the caller has left.
+func (c *connection) read(limits bluebelldoor.CallerLimits) (*http.Request, []byte, *bluebelldoor.Refusal) {
 	head, err := peekHead(c.reader, limits.HeaderBytes)
 	switch {
 	case errors.Is(err, errHeadTooLarge):
-		return nil, nil, http.StatusRequestHeaderFieldsTooLarge
+		return nil, nil, bluebelldoor.Refuse(bluebelldoor.HeadTooLarge, err.Error())
 	case isTimeout(err):
-		return nil, nil, http.StatusRequestTimeout
+		return nil, nil, bluebelldoor.Refuse(bluebelldoor.TooSlow, "the head did not arrive in time")
 	case err != nil:
-		return nil, nil, 0
+		return nil, nil, nil
 	}
-	if checkHead(head) != nil {
-		return nil, nil, http.StatusBadRequest
+	if err := checkHead(head); err != nil {
+		return nil, nil, bluebelldoor.Refuse(bluebelldoor.BadRequest, err.Error())
 	}
 	request, err := http.ReadRequest(c.reader)
-	if err != nil || request.ProtoMajor != 1 {
-		return nil, nil, http.StatusBadRequest
+	if err != nil {
+		return nil, nil, bluebelldoor.Refuse(bluebelldoor.BadRequest, err.Error())
 	}
 	if request.ContentLength > int64(limits.BodyBytes) {
-		return nil, nil, http.StatusRequestEntityTooLarge
+		return nil, nil, tooLarge(limits)
 	}
 	if request.Header.Get("Expect") != "" {
 		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, nil, 0
+			return nil, nil, nil
 		}
 	}
-	body, status := c.readBody(request, limits.BodyBytes)
-	if status != 0 {
-		return nil, nil, status
+	body, refusal := c.readBody(request, limits)
+	if refusal != nil {
+		return nil, nil, refusal
 	}
-	return request, body, 0
+	return request, body, nil
 }
 
-func (c *connection) readBody(request *http.Request, limit int) ([]byte, int) {
+func tooLarge(limits bluebelldoor.CallerLimits) *bluebelldoor.Refusal {
+	return bluebelldoor.Refuse(bluebelldoor.TooLarge, fmt.Sprintf("bodies may have %d bytes", limits.BodyBytes))
+}
+
+func (c *connection) readBody(request *http.Request, limits bluebelldoor.CallerLimits) ([]byte, *bluebelldoor.Refusal) {
 	if request.ContentLength == 0 {
-		return nil, 0
+		return nil, nil
 	}
 	var body []byte
 	if request.ContentLength > 0 {
@@ -255,24 +275,22 @@
 	}
 	buffer := make([]byte, 8<<10)
 	for {
-		if c.conn.SetReadDeadline(time.Now().Add(bodyTimeout)) != nil {
-			return nil, http.StatusBadRequest
+		if err := c.conn.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+			return nil, bluebelldoor.Refuse(bluebelldoor.BadRequest, err.Error())
 		}
 		n, err := request.Body.Read(buffer)
 		body = append(body, buffer[:n]...)
-		if len(body) > limit {
-			return nil, http.StatusRequestEntityTooLarge
-		}
-		if !c.hold(len(body)) {
-			return nil, http.StatusServiceUnavailable
-		}
 		switch {
+		case len(body) > limits.BodyBytes:
+			return nil, tooLarge(limits)
+		case !c.hold(len(body)):
+			return nil, bluebelldoor.Refuse(bluebelldoor.BodiesHeld, "too many large bodies at once").WithRetryAfter(heldRetry)
 		case err == io.EOF:
-			return body, 0
+			return body, nil
 		case isTimeout(err):
-			return nil, http.StatusRequestTimeout
+			return nil, bluebelldoor.Refuse(bluebelldoor.TooSlow, "the body did not arrive in time")
 		case err != nil:
-			return nil, http.StatusBadRequest
+			return nil, bluebelldoor.Refuse(bluebelldoor.BadRequest, err.Error())
 		}
 	}
 }
@@ -280,9 +298,14 @@
 // reject answers a request that was not taken, and closes. What the caller
 // still sends is read for a while: a connection that is closed with bytes unread
 // is reset, and the answer lost with it.
-func (c *connection) reject(status int) {
+func (c *connection) reject(refusal *bluebelldoor.Refusal) {
+	c.owner.log.Info("request not taken", "caller", c.conn.RemoteAddr().String(), "code", int(refusal.Code()), "detail", refusal.Detail())
+	header := http.Header{}
+	if after := refusal.RetryAfter(); after > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
+	}
 	call := &Call{conn: c, close: true}
-	if call.Respond(status, http.Header{}, nil) != nil {
+	if call.Respond(refusal.Code().Info().Status, header, []byte(refusal.Error()+"\n")) != nil {
 		return // the caller has left
 	}
 	tcp, ok := c.conn.(*net.TCPConn)
--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -240,7 +240,9 @@
 			continue
 		}
 		a.response, a.head = response, a.owner.codec.Answer(response)
-		if a.head.RequestID == "" || a.head.RequestID == o.ID {
+		// A failure may come without an ID; a success must say whose it is.
+		unnamed := a.head.RequestID == "" && response.StatusCode >= http.StatusMultipleChoices
+		if unnamed || a.head.RequestID == o.ID {
 			return errors.Wrap(a.channel.conn.SetReadDeadline(time.Time{}), "read answer")
 		}
 		a.ended = true // the connection is not kept after a stray answer
--- a/connection/exchanger/exchanger_test.go
+++ b/connection/exchanger/exchanger_test.go
@@ -101,6 +101,12 @@
 		"bytes after the answer": {func(id string, c net.Conn) { _, _ = io.WriteString(c, ok(id, "abc")+"more") }, "abc", true, true, false},
 		"a second answer":        {func(id string, c net.Conn) { _, _ = io.WriteString(c, ok(id, "abc")+ok(id, "abc")) }, "abc", true, true, false},
 		"another answer first":   {func(id string, c net.Conn) { _, _ = io.WriteString(c, ok("other", "xyz")+ok(id, "abc")) }, "abc", true, true, false},
+		"a success without an ID": {func(_ string, c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc")
+		}, "", false, false, false},
+		"a failure without an ID": {func(_ string, c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 500 Oops\r\nContent-Length: 3\r\n\r\nabc")
+		}, "abc", true, true, true},
 		"an interim answer": {func(id string, c net.Conn) {
 			_, _ = io.WriteString(c, "HTTP/1.1 102 Processing\r\n\r\n"+ok(id, "abc"))
 		}, "abc", true, true, true},
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -83,7 +83,7 @@
 		News:     r.registrar.News,
 		Hear:     r.registrar.Hear,
 	}, log.Named("gossiper"))
-	r.turner = turner.New(settings.Name, peers, r.gossiper.Alive)
+	r.turner = turner.New(settings.Name, peers, r.gossiper.Alive, log.Named("turner"))
 	targets, closeTargets := exchanger.New(adapters.Codec)
 	r.onStop(closeTargets)
 	r.budget = budgeter.New(budget(settings))
@@ -152,7 +152,7 @@
 		func() (func(), error) { return r.adapters.ServeReady(r.settings.ReadyAddress, r.ready) },
 		func() (func(), error) { return r.adapters.ServeDirectory(r.settings.DirectoryAddress, r.entry) },
 		func() (func(), error) {
-			a, stop, err := acceptor.New(r.settings.CallerAddress, r.limits, r.relayer.Serve)
+			a, stop, err := acceptor.New(r.settings.CallerAddress, r.limits, r.relayer.Serve, acceptor.WithLog(r.log.Named("acceptor")))
 			r.acceptor = a
 			return stop, err
 		},
--- a/process/turner/turner.go
+++ b/process/turner/turner.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"bluebelldoor"
 	"bluebelldoor/process/ranker"
 )
@@ -31,6 +33,7 @@
 	self  string
 	peers bluebelldoor.FleetPeers
 	alive func() []bluebelldoor.MemberState
+	log   hclog.Logger
 	mu    sync.Mutex
 	lines map[string]*line
 }
@@ -52,8 +55,8 @@
 }
 
 // New returns a turner of the VM named self.
-func New(self string, peers bluebelldoor.FleetPeers, alive func() []bluebelldoor.MemberState) *Turner {
-	return &Turner{self: self, peers: peers, alive: alive, lines: map[string]*line{}}
+func New(self string, peers bluebelldoor.FleetPeers, alive func() []bluebelldoor.MemberState, log hclog.Logger) *Turner {
+	return &Turner{self: self, peers: peers, alive: alive, log: log, lines: map[string]*line{}}
 }
 
 // Acquire waits for a turn to copy a generation of tokens off an engine. The
@@ -111,6 +114,9 @@
 	ctx, cancel := context.WithTimeout(ctx, waitMost)
 	defer cancel()
 	reply, err := t.peers.Turn(ctx, address, in)
+	if err != nil {
+		t.log.Warn("no word on a turn", "id", in.Request, "engine", in.Engine, "peer", address, "release", in.Release, "error", err)
+	}
 	return reply, err == nil
 }
 
