Forget targets that have gone; wait for a late copy

Found by reading: nothing was dropped of targets that had gone, new ones with new IDs come every few seconds, and idle connections to them kept their descriptors until the process ended. Idle connections and notes are dropped at the notice and when nothing can run there any more (TestForgets, TestForget). A stream whose last copy takes longer than a second waits for it, up to three: a late answer is delivered, where it was broken off.

--- a/connection/exchanger/exchanger_test.go
+++ b/connection/exchanger/exchanger_test.go
@@ -293,3 +293,34 @@
 	assert.Equal(t, failed.Executed, bluebelldoor.ExecutedNo)
 	assert.Assert(t, time.Since(began) < 700*time.Millisecond, "after %s", time.Since(began))
 }
+
+// TestForget closes the idle connections to a target that has gone.
+func TestForget(t *testing.T) {
+	closed := make(chan struct{})
+	to, _ := target(t, func(_ int, id string, conn net.Conn) {
+		_, _ = io.WriteString(conn, ok(id, "abc"))
+		go func() {
+			// The script's goroutine reads the next request; a write fails once
+			// the other side has closed.
+			for {
+				time.Sleep(10 * time.Millisecond)
+				if _, err := conn.Write(nil); err != nil {
+					close(closed)
+					return
+				}
+			}
+		}()
+	})
+	x, stop := exchanger.New(platform.Codec{})
+	defer stop()
+	answer, err := x.Send(context.Background(), to, outgoing("r1", false))
+	assert.NilError(t, err)
+	_, err = io.ReadAll(answer)
+	assert.NilError(t, err)
+	x.Forget(to)
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the connection is still open")
+	}
+}
--- a/request/placer/ledger.go
+++ b/request/placer/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 
 	"bluebelldoor"
@@ -170,6 +171,29 @@
 	delete(l.stalls, target)
 }
 
+// Targets returns of how many targets something is kept.
+func (l *Ledger) Targets() int {
+	seen := map[string]bool{}
+	for id := range l.failures {
+		seen[id] = true
+	}
+	for id := range l.cold {
+		seen[id] = true
+	}
+	for id := range l.unreachable {
+		seen[id] = true
+	}
+	for id := range l.stalls {
+		if !strings.HasPrefix(id, stallsOf("")) {
+			seen[id] = true
+		}
+	}
+	for id := range l.own {
+		seen[id] = true
+	}
+	return len(seen)
+}
+
 // Own returns this VM's loads, for its peers.
 func (l *Ledger) Own() []bluebelldoor.TargetLoad {
 	out := make([]bluebelldoor.TargetLoad, 0, len(l.own))
--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -20,12 +20,17 @@
 	// before it there is nothing to copy.
 	beginPoll = 30 * time.Millisecond
 	beginWait = 3 * time.Second
+	// forgetAfter is above the longest time that a request may take.
+	forgetAfter = 2 * time.Minute
 	// busyPause is the pause after a source that is copying already.
 	busyPause = 20 * time.Millisecond
 )
 
-// Leaving moves the generations off a target that takes no new work.
+// Leaving moves the generations off a target that takes no new work, and
+// forgets it when nothing can run there any more.
 func (r *Relayer) Leaving(t *registrar.Target) {
+	r.forget(t)
+	time.AfterFunc(forgetAfter, func() { r.forget(t) })
 	go func() {
 		for _, s := range r.on(t) {
 			go s.job.moveOne(s, t)
@@ -33,6 +38,15 @@
 	}()
 }
 
+// forget drops what is kept of a target, idle connections among it. What still
+// runs there may bring some of it back.
+func (r *Relayer) forget(t *registrar.Target) {
+	r.Targets.Forget(t.Instance)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ledger.Forget(t.ID)
+}
+
 // Streaming returns the targets on which generations of this VM run.
 func (r *Relayer) Streaming() []*bluebelldoor.Instance {
 	r.mu.Lock()
--- a/request/relayer/move_test.go
+++ b/request/relayer/move_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"bluebelldoor"
+	"bluebelldoor/connection/exchanger"
 	"bluebelldoor/process/recorder"
 	"bluebelldoor/process/registrar"
 	"bluebelldoor/process/turner"
@@ -161,3 +162,32 @@
 		})
 	}
 }
+
+// TestForgets keeps nothing of targets that have gone: new ones come every few
+// seconds, each with an ID of its own.
+func TestForgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := steady{time.Now()}
+		targets, closeIdle := exchanger.New(nil)
+		defer closeIdle()
+		r := New(Settings{}, Sources{}, Parts{Targets: targets, Metrics: recorder.NewRelayMetrics()}, clock, hclog.NewNullLogger())
+		for i := range 100 {
+			gone := &registrar.Target{Instance: &bluebelldoor.Instance{ID: string(rune('A' + i)), DataCentre: "dc"}}
+			r.mu.Lock()
+			r.ledger.Outcome(gone.ID, true)
+			r.ledger.SentCold(gone.ID, clock.Now())
+			r.mu.Unlock()
+			r.Leaving(gone)
+			r.mu.Lock()
+			// What ran there ends after the notice.
+			r.ledger.Outcome(gone.ID, true)
+			r.ledger.Unreachable(gone.ID, clock.Now())
+			r.ledger.Stall(gone.ID, "dc", clock.Now())
+			r.mu.Unlock()
+		}
+		time.Sleep(forgetAfter + time.Second)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		assert.Equal(t, r.ledger.Targets(), 0)
+	})
+}
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -15,8 +15,9 @@
 
 const (
 	// copyWait bounds how long a stream waits for the word of its last copy
-	// after its engine has ended it.
-	copyWait = time.Second
+	// after its engine has ended it: as long as the copy may take, for a late
+	// answer is worth more than a broken one.
+	copyWait = 3 * time.Second
 	// needEvery is how many events pass between two looks at the memory that a
 	// stream will come to need.
 	needEvery = 16
