Rename to the field's terms; no change of behaviour

Cause: RecordNews, Hear, Stay, wanting and patience were words of our own for a record's delta, its receipt, a reservation, the time a copy has been needed and the delay before a takeover; a newcomer had to look each one up.

Ruled out: a change of what any of them does. The diff is names only.

Race tests of the gossiper, registrar, relayer, messenger and runner pass.

--- a/fleet.go
+++ b/fleet.go
@@ -37,9 +37,9 @@
 	Prefill int `cbor:"prefill"`
 }
 
-// RecordNews is what a VM holds of the platform's entries beyond what a peer
+// RecordDelta is what a VM holds of the platform's entries beyond what a peer
 // holds.
-type RecordNews struct {
+type RecordDelta struct {
 	// Base is the revision that Records follow, 0 if they are all there are.
 	Base     uint64   `cbor:"base"`
 	Revision uint64   `cbor:"revision"`
@@ -55,7 +55,7 @@
 type ExchangeMessage struct {
 	From    string        `cbor:"from"`
 	Members []MemberState `cbor:"members"`
-	News    RecordNews    `cbor:"news"`
+	Delta   RecordDelta   `cbor:"delta"`
 	// Known is how many members the sender knows of.
 	Known int `cbor:"known"`
 }
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -35,9 +35,9 @@
 	// fanOut is how many peers are told in a round; up to that many VMs that
 	// serve tell each other directly.
 	fanOut = 16
-	// longestPatience bounds how long a VM that is missing among those that
+	// longestTakeover bounds how long a VM that is missing among those that
 	// serve waits for another to step in.
-	longestPatience = 1500 * time.Millisecond
+	longestTakeover = 1500 * time.Millisecond
 	// hubShare is the part of what all VMs may send that belongs to those that
 	// serve; the rest is for those that stand by.
 	hubShare = 0.8
@@ -49,12 +49,12 @@
 	Describe func(*bluebelldoor.MemberState)
 	// Told takes what a peer says of itself.
 	Told func(bluebelldoor.MemberState)
-	// News returns what a peer that holds a revision lacks, everything only if
+	// Delta returns what a peer that holds a revision lacks, everything only if
 	// the whole is wanted.
-	News func(ctx context.Context, after uint64, whole bool) bluebelldoor.RecordNews
-	// Hear takes news of a peer, which answered a question asked at asked or
+	Delta func(ctx context.Context, after uint64, whole bool) bluebelldoor.RecordDelta
+	// Receive takes news of a peer, which answered a question asked at asked or
 	// was not asked.
-	Hear func(ctx context.Context, news bluebelldoor.RecordNews, asked time.Duration, answer bool)
+	Receive func(ctx context.Context, news bluebelldoor.RecordDelta, asked time.Duration, answer bool)
 }
 
 // Gossiper keeps one VM's membership. It is safe for concurrent use.
@@ -78,10 +78,10 @@
 	changed uint64
 	// told is the largest number of members that a peer has told of.
 	told int
-	// wanting is since when the VM has been missing among those that serve, 0 if
-	// it is not, and patience how long it waits for another to step in.
-	wanting  time.Duration
-	patience time.Duration
+	// neededSince is since when the VM has been missing among those that serve, 0 if
+	// it is not, and takeoverDelay how long it waits for another to step in.
+	neededSince   time.Duration
+	takeoverDelay time.Duration
 }
 
 // New returns a gossiper for the VM that says self of itself.
@@ -270,7 +270,7 @@
 	message := &bluebelldoor.ExchangeMessage{
 		From:    to.members[0].Name,
 		Members: to.members,
-		News:    g.hooks.News(ctx, to.revision, false),
+		Delta:   g.hooks.Delta(ctx, to.revision, false),
 		Known:   g.state.Load().known,
 	}
 	asked := g.clock.Now()
@@ -283,7 +283,7 @@
 		return
 	}
 	g.merge(reply)
-	g.hooks.Hear(ctx, reply.News, asked, true)
+	g.hooks.Receive(ctx, reply.Delta, asked, true)
 }
 
 func (g *Gossiper) merge(in *bluebelldoor.ExchangeMessage) {
@@ -304,7 +304,7 @@
 	known := g.table.members[in.From] != nil
 	g.mu.Unlock()
 	g.merge(in)
-	g.hooks.Hear(ctx, in.News, 0, false)
+	g.hooks.Receive(ctx, in.Delta, 0, false)
 	g.mu.Lock()
 	s := g.state.Load()
 	out := &bluebelldoor.ExchangeMessage{From: g.table.Self().Name, Known: s.known}
@@ -318,6 +318,6 @@
 		out.Members[0].Loads = nil
 	}
 	g.mu.Unlock()
-	out.News = g.hooks.News(ctx, in.News.Revision, in.News.Want)
+	out.Delta = g.hooks.Delta(ctx, in.Delta.Revision, in.Delta.Want)
 	return out
 }
--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -82,10 +82,10 @@
 	g := gossiper.New(self, seeds, steady{time.Now().Add(-time.Hour)}, from{n, name(i)}, gossiper.Hooks{
 		Describe: func(m *bluebelldoor.MemberState) { m.Ready, m.Loads, m.Use = true, loads, 0.01 },
 		Told:     func(bluebelldoor.MemberState) {},
-		News: func(context.Context, uint64, bool) bluebelldoor.RecordNews {
-			return bluebelldoor.RecordNews{EvidenceAgeMs: -1}
+		Delta: func(context.Context, uint64, bool) bluebelldoor.RecordDelta {
+			return bluebelldoor.RecordDelta{EvidenceAgeMs: -1}
 		},
-		Hear: func(context.Context, bluebelldoor.RecordNews, time.Duration, bool) {},
+		Receive: func(context.Context, bluebelldoor.RecordDelta, time.Duration, bool) {},
 	}, hclog.NewNullLogger())
 	n.mu.Lock()
 	n.vms[name(i)] = g
@@ -195,7 +195,7 @@
 				assert.Check(t, !n.cut[hub.Name], "%s still names %s", vm, hub.Name)
 			}
 		}
-		// Others step in after the silence, their patience and a question.
+		// Others step in after the silence, their takeoverDelay and a question.
 		time.Sleep(3 * time.Second)
 		for vm, g := range n.vms {
 			if !n.cut[vm] {
@@ -254,10 +254,10 @@
 		g := gossiper.New(self, []string{name(0)}, steady{time.Now().Add(-time.Hour)}, from{n, name(2)}, gossiper.Hooks{
 			Describe: func(m *bluebelldoor.MemberState) { m.Ready = true },
 			Told:     func(bluebelldoor.MemberState) {},
-			News: func(context.Context, uint64, bool) bluebelldoor.RecordNews {
-				return bluebelldoor.RecordNews{EvidenceAgeMs: -1}
+			Delta: func(context.Context, uint64, bool) bluebelldoor.RecordDelta {
+				return bluebelldoor.RecordDelta{EvidenceAgeMs: -1}
 			},
-			Hear: func(context.Context, bluebelldoor.RecordNews, time.Duration, bool) {},
+			Receive: func(context.Context, bluebelldoor.RecordDelta, time.Duration, bool) {},
 		}, hclog.NewNullLogger())
 		n.mu.Lock()
 		n.vms[name(2)] = g
--- a/process/gossiper/state.go
+++ b/process/gossiper/state.go
@@ -46,15 +46,15 @@
 	self, now := g.table.Self(), g.clock.Now()
 	switch needed := self.Ready && !self.Leaving && Needed(self, hubs); {
 	case !needed:
-		g.wanting = 0
+		g.neededSince = 0
 		return false
 	case self.Hub || len(hubs) == 0:
 		return true
-	case g.wanting == 0:
-		g.wanting = now
-		g.patience = time.Duration(rand.Int64N(int64(longestPatience)))
+	case g.neededSince == 0:
+		g.neededSince = now
+		g.takeoverDelay = time.Duration(rand.Int64N(int64(longestTakeover)))
 	}
-	return now-g.wanting >= g.patience
+	return now-g.neededSince >= g.takeoverDelay
 }
 
 // publish makes the fleet visible and logs who came and who fell silent. A
--- a/process/registrar/book.go
+++ b/process/registrar/book.go
@@ -107,8 +107,8 @@
 
 // since returns the entries after a revision, or, where removals since then are
 // no longer known, all if the whole is wanted and else none.
-func (b *book) since(after uint64, whole bool) bluebelldoor.RecordNews {
-	news := bluebelldoor.RecordNews{Base: after, Revision: b.revision}
+func (b *book) since(after uint64, whole bool) bluebelldoor.RecordDelta {
+	news := bluebelldoor.RecordDelta{Base: after, Revision: b.revision}
 	if after < b.forgotten {
 		news.Base = 0
 	}
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -242,12 +242,12 @@
 	}
 }
 
-// News returns what a peer that holds a revision lacks. Where that is
+// Delta returns what a peer that holds a revision lacks. Where that is
 // everything, the peer gets it only if it has asked: the whole is large, and a
 // VM that starts reads it from the platform.
-func (r *Registrar) News(ctx context.Context, after uint64, whole bool) bluebelldoor.RecordNews {
+func (r *Registrar) Delta(ctx context.Context, after uint64, whole bool) bluebelldoor.RecordDelta {
 	now := r.Revision()
-	out := bluebelldoor.RecordNews{Base: now, Revision: now}
+	out := bluebelldoor.RecordDelta{Base: now, Revision: now}
 	if after != now && (after > 0 || whole) {
 		r.do(ctx, func() { out = r.book.since(after, whole) })
 	}
@@ -259,10 +259,10 @@
 	return out
 }
 
-// Hear takes news from a peer. Only an answer to a question that was asked at
+// Receive takes news from a peer. Only an answer to a question that was asked at
 // a known time is evidence: what a peer sends unasked may have been long on
 // its way.
-func (r *Registrar) Hear(ctx context.Context, news bluebelldoor.RecordNews, asked time.Duration, answer bool) {
+func (r *Registrar) Receive(ctx context.Context, news bluebelldoor.RecordDelta, asked time.Duration, answer bool) {
 	if news.Revision > r.Revision() {
 		r.do(ctx, func() {
 			if news.Base > r.book.revision {
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -312,18 +312,18 @@
 		return bluebelldoor.Record{Key: key, Value: []byte(value), Revision: revision, Gone: value == ""}
 	}
 	for name, c := range map[string]struct {
-		news   bluebelldoor.RecordNews
+		news   bluebelldoor.RecordDelta
 		answer bool
 		open   bool // target y, which the news adds
 		proved bool // the evidence is as old as the peer's
 	}{
-		"an answer":            {bluebelldoor.RecordNews{Base: 2, Revision: 9, Records: []bluebelldoor.Record{rec("t/y", "ready", 9)}, EvidenceAgeMs: 100}, true, true, true},
-		"unasked":              {bluebelldoor.RecordNews{Base: 2, Revision: 9, Records: []bluebelldoor.Record{rec("t/y", "ready", 9)}, EvidenceAgeMs: 100}, false, true, false},
-		"a gap before it":      {bluebelldoor.RecordNews{Base: 5, Revision: 9, Records: []bluebelldoor.Record{rec("t/y", "ready", 9)}, EvidenceAgeMs: 100}, true, false, false},
-		"everything":           {bluebelldoor.RecordNews{Revision: 9, Records: []bluebelldoor.Record{rec("t/x", "ready", 2), rec("t/y", "ready", 9)}, EvidenceAgeMs: 100}, true, true, true},
-		"older than held":      {bluebelldoor.RecordNews{Base: 1, Revision: 1, EvidenceAgeMs: 100}, true, false, false},
-		"no evidence":          {bluebelldoor.RecordNews{Base: 2, Revision: 9, Records: []bluebelldoor.Record{rec("t/y", "ready", 9)}, EvidenceAgeMs: -1}, true, true, false},
-		"nothing new, younger": {bluebelldoor.RecordNews{Base: 2, Revision: 2, EvidenceAgeMs: 100}, true, false, true},
+		"an answer":            {bluebelldoor.RecordDelta{Base: 2, Revision: 9, Records: []bluebelldoor.Record{rec("t/y", "ready", 9)}, EvidenceAgeMs: 100}, true, true, true},
+		"unasked":              {bluebelldoor.RecordDelta{Base: 2, Revision: 9, Records: []bluebelldoor.Record{rec("t/y", "ready", 9)}, EvidenceAgeMs: 100}, false, true, false},
+		"a gap before it":      {bluebelldoor.RecordDelta{Base: 5, Revision: 9, Records: []bluebelldoor.Record{rec("t/y", "ready", 9)}, EvidenceAgeMs: 100}, true, false, false},
+		"everything":           {bluebelldoor.RecordDelta{Revision: 9, Records: []bluebelldoor.Record{rec("t/x", "ready", 2), rec("t/y", "ready", 9)}, EvidenceAgeMs: 100}, true, true, true},
+		"older than held":      {bluebelldoor.RecordDelta{Base: 1, Revision: 1, EvidenceAgeMs: 100}, true, false, false},
+		"no evidence":          {bluebelldoor.RecordDelta{Base: 2, Revision: 9, Records: []bluebelldoor.Record{rec("t/y", "ready", 9)}, EvidenceAgeMs: -1}, true, true, false},
+		"nothing new, younger": {bluebelldoor.RecordDelta{Base: 2, Revision: 2, EvidenceAgeMs: 100}, true, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -334,7 +334,7 @@
 				assert.Equal(t, v.Revision(), uint64(2))
 				store.fail(errors.New("cut off"))
 				time.Sleep(5 * time.Second)
-				v.Hear(t.Context(), c.news, v.clock.Now()-50*time.Millisecond, c.answer)
+				v.Receive(t.Context(), c.news, v.clock.Now()-50*time.Millisecond, c.answer)
 				assert.Equal(t, v.open("y"), c.open)
 				assert.Assert(t, v.open("x"))
 				age, _ := v.Evidence()
@@ -354,7 +354,7 @@
 			store.put(fmt.Sprintf("t/%d", i%7), []string{"ready", "draining", ""}[i%3])
 			synctest.Wait()
 			asked := other.clock.Now()
-			other.Hear(t.Context(), reader.News(t.Context(), other.Revision(), true), asked, true)
+			other.Receive(t.Context(), reader.Delta(t.Context(), other.Revision(), true), asked, true)
 			for n := range 7 {
 				id := strconv.Itoa(n)
 				assert.Equal(t, reader.open(id), other.open(id), "step %d, target %s", i, id)
@@ -378,7 +378,7 @@
 		first := calls()
 		for range 20 {
 			time.Sleep(250 * time.Millisecond)
-			v.Hear(t.Context(), bluebelldoor.RecordNews{Base: 1, Revision: 1, EvidenceAgeMs: 300}, v.clock.Now(), true)
+			v.Receive(t.Context(), bluebelldoor.RecordDelta{Base: 1, Revision: 1, EvidenceAgeMs: 300}, v.clock.Now(), true)
 		}
 		assert.Equal(t, calls(), first)
 		time.Sleep(3 * time.Second)
@@ -411,10 +411,10 @@
 		down.fail(errors.New("down"))
 		reader, other := start(t, store, true), start(t, down, false)
 		time.Sleep(100 * time.Millisecond)
-		ask := func() bluebelldoor.RecordNews {
-			question := other.News(t.Context(), 0, false)
-			answer := reader.News(t.Context(), question.Revision, question.Want)
-			other.Hear(t.Context(), answer, other.clock.Now(), true)
+		ask := func() bluebelldoor.RecordDelta {
+			question := other.Delta(t.Context(), 0, false)
+			answer := reader.Delta(t.Context(), question.Revision, question.Want)
+			other.Receive(t.Context(), answer, other.clock.Now(), true)
 			return answer
 		}
 		assert.Equal(t, len(ask().Records), 0, "everything to a VM that has just started")
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -80,8 +80,8 @@
 	}, settings.Seeds, adapters.Clock, peers, gossiper.Hooks{
 		Describe: r.describe,
 		Told:     func(s bluebelldoor.MemberState) { r.relayer.PeerLoads(s.Name, s.Loads) },
-		News:     r.registrar.News,
-		Hear:     r.registrar.Hear,
+		Delta:    r.registrar.Delta,
+		Receive:  r.registrar.Receive,
 	}, log.Named("gossiper"))
 	r.turner = turner.New(settings.Name, peers, r.gossiper.Alive, log.Named("turner"))
 	targets, closeTargets := exchanger.New(adapters.Codec)
--- a/request/placer/ledger.go
+++ b/request/placer/ledger.go
@@ -64,8 +64,8 @@
 	}
 }
 
-// Stay is one request of this VM on a target.
-type Stay struct {
+// Reservation is one request of this VM on a target.
+type Reservation struct {
 	ledger  *Ledger
 	target  string
 	tokens  int
@@ -75,7 +75,7 @@
 
 // Start notes that a request goes to a target. tokens is the memory that it
 // will come to need there, prefill the part of its prompt to be read.
-func (l *Ledger) Start(target string, tokens, prefill int) *Stay {
+func (l *Ledger) Start(target string, tokens, prefill int) *Reservation {
 	own := l.own[target]
 	if own == nil {
 		own = &load{}
@@ -85,11 +85,11 @@
 	own.tokens += tokens
 	own.prefill += prefill
 	l.dirty = true
-	return &Stay{ledger: l, target: target, tokens: tokens, prefill: prefill}
+	return &Reservation{ledger: l, target: target, tokens: tokens, prefill: prefill}
 }
 
 // Read notes that the prompt has been read.
-func (s *Stay) Read() {
+func (s *Reservation) Read() {
 	if s.ended || s.prefill == 0 {
 		return
 	}
@@ -99,7 +99,7 @@
 }
 
 // Need changes the memory that the request will come to need.
-func (s *Stay) Need(tokens int) {
+func (s *Reservation) Need(tokens int) {
 	if s.ended || tokens == s.tokens {
 		return
 	}
@@ -109,7 +109,7 @@
 }
 
 // End notes that the request has left the target.
-func (s *Stay) End() {
+func (s *Reservation) End() {
 	if s.ended {
 		return
 	}
--- a/request/placer/load_test.go
+++ b/request/placer/load_test.go
@@ -98,7 +98,7 @@
 		Engine: &bluebelldoor.EngineKind{MemoryTokens: memory},
 	}
 	e := f.engines[choose(f, vm, demand, now)]
-	stay := f.ledgers[vm].Start(e.instance.ID, demand.Tokens, prompt)
+	reservation := f.ledgers[vm].Start(e.instance.ID, demand.Tokens, prompt)
 	f.told(vm, now)
 	e.free = max(e.free, now) + time.Duration(prompt/readPerMs)*time.Millisecond
 	f.waits = append(f.waits, e.free-now)
@@ -108,11 +108,11 @@
 	e.tokens += prompt + output
 	e.most = max(e.most, e.tokens)
 	f.add(e.free, func(now time.Duration) {
-		stay.Read()
+		reservation.Read()
 		f.told(vm, now)
 	})
 	f.add(e.free+time.Duration(output*perToken)*time.Millisecond, func(now time.Duration) {
-		stay.End()
+		reservation.End()
 		e.tokens -= prompt + output
 		f.told(vm, now)
 	})
--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -108,11 +108,11 @@
 			life.step(streamEnded)
 			return
 		}
-		destination, stay, giveBack := j.freeDestination(t, tried, tokens)
+		destination, reservation, giveBack := j.freeDestination(t, tried, tokens)
 		if destination == nil {
 			break
 		}
-		j.copyTo(s, t, destination, stay, life)
+		j.copyTo(s, t, destination, reservation, life)
 		giveBack()
 		if life.over() {
 			return
@@ -139,26 +139,26 @@
 // freeDestination chooses an engine for a copy that no other copy goes to: the
 // last copy of one generation would wait for the first copy of the other. Where
 // all are taken, the best of them is.
-func (j *job) freeDestination(source *registrar.Target, tried map[string]bool, tokens int) (*registrar.Target, *placer.Stay, func()) {
+func (j *job) freeDestination(source *registrar.Target, tried map[string]bool, tokens int) (*registrar.Target, *placer.Reservation, func()) {
 	passed := maps.Clone(tried)
 	for range moveTries {
-		destination, stay := j.destination(source, passed, tokens)
+		destination, reservation := j.destination(source, passed, tokens)
 		if destination == nil {
 			break
 		}
 		if giveBack, free := j.Turns.TryAcquire(j.ctx, destination.ID, j.request.ID); free {
-			return destination, stay, giveBack
+			return destination, reservation, giveBack
 		}
-		j.end(stay)
+		j.end(reservation)
 		passed[destination.ID] = true
 	}
-	destination, stay := j.destination(source, tried, tokens)
-	return destination, stay, func() {}
+	destination, reservation := j.destination(source, tried, tokens)
+	return destination, reservation, func() {}
 }
 
 // destination chooses an engine for a copy, near the source: copies between
 // data centres take twice as long.
-func (j *job) destination(source *registrar.Target, tried map[string]bool, tokens int) (*registrar.Target, *placer.Stay) {
+func (j *job) destination(source *registrar.Target, tried map[string]bool, tokens int) (*registrar.Target, *placer.Reservation) {
 	now := j.clock.Now()
 	targets, candidates := j.candidates(now)
 	kept := 0
@@ -179,21 +179,21 @@
 	return targets[choice.Index], j.ledger.Start(targets[choice.Index].ID, max(tokens, demand.Tokens), 0)
 }
 
-// copyTo copies a generation to a destination. The stay there ends with it
+// copyTo copies a generation to a destination. The reservation there ends with it
 // unless the stream goes on there.
-func (j *job) copyTo(s *stream, source, destination *registrar.Target, stay *placer.Stay, life *life) {
+func (j *job) copyTo(s *stream, source, destination *registrar.Target, reservation *placer.Reservation, life *life) {
 	began := j.clock.Now()
 	first, err := j.copy(source, destination, false)
 	if err != nil {
-		j.end(stay)
+		j.end(reservation)
 		j.log.Warn("first copy failed", "id", j.request.ID, "source", source.ID, "target", destination.ID, "error", err)
 		life.step(firstFailed)
 		return
 	}
 	took := j.clock.Now() - began
-	m := &move{done: make(chan struct{}), target: destination, stay: stay}
+	m := &move{done: make(chan struct{}), target: destination, reservation: reservation}
 	if !s.startMove(m, source) {
-		j.end(stay)
+		j.end(reservation)
 		j.free(source, first.Handle)
 		life.step(streamEnded)
 		return
@@ -207,11 +207,11 @@
 		m.copied = last.Copy
 		life.step(lastCopied)
 	case errors.As(err, &failed) && failed.Stopped != "":
-		j.end(stay)
-		m.copied, m.target, m.stay = failed.Stopped, source, nil
+		j.end(reservation)
+		m.copied, m.target, m.reservation = failed.Stopped, source, nil
 		life.step(keptAtSource)
 	default:
-		j.end(stay)
+		j.end(reservation)
 		j.log.Warn("last copy failed", "id", j.request.ID, "source", source.ID, "target", destination.ID, "error", err)
 		life.step(lastFailed)
 	}
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -41,14 +41,14 @@
 
 // place chooses a target for the request and notes the request there, so that
 // the next one that is placed sees it.
-func (j *job) place() (*registrar.Target, *placer.Stay, *bluebelldoor.Refusal) {
+func (j *job) place() (*registrar.Target, *placer.Reservation, *bluebelldoor.Refusal) {
 	now := j.clock.Now()
 	targets, candidates := j.candidates(now)
 	if len(targets) == 0 {
 		return nil, nil, bluebelldoor.Refuse(bluebelldoor.NoTarget, "no target of the service may take work").WithRetryAfter(comeBack)
 	}
 	demand := j.demand()
-	choice, stay, refusal := j.reserve(candidates, demand, now)
+	choice, reservation, refusal := j.reserve(candidates, demand, now)
 	if refusal != nil {
 		return nil, nil, refusal
 	}
@@ -56,10 +56,10 @@
 	j.log.Info("target chosen", "id", j.request.ID, "target", t.ID, "dataCentre", t.DataCentre, "of", len(targets),
 		"cost", round(choice.Cost), "requests", choice.Requests, "tokens", choice.Tokens, "prefill", choice.Prefill,
 		"failures", round(choice.Failures), "coldMs", max(0, t.ColdUntil-now).Milliseconds(), "full", choice.Full)
-	return t, stay, nil
+	return t, reservation, nil
 }
 
-func (j *job) reserve(candidates []placer.Candidate, demand placer.Demand, now time.Duration) (placer.Choice, *placer.Stay, *bluebelldoor.Refusal) {
+func (j *job) reserve(candidates []placer.Candidate, demand placer.Demand, now time.Duration) (placer.Choice, *placer.Reservation, *bluebelldoor.Refusal) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	choice := j.ledger.Pick(candidates, demand, now, rand.Float64)
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -191,12 +191,12 @@
 // run sends the request until it has a final answer.
 func (j *job) run() {
 	for {
-		target, stay, refusal := j.place()
+		target, reservation, refusal := j.place()
 		if refusal != nil {
 			j.refuse(refusal)
 			return
 		}
-		if done := j.try(target, stay); done {
+		if done := j.try(target, reservation); done {
 			return
 		}
 		if j.ctx.Err() != nil {
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -50,45 +50,45 @@
 // move is a last copy under way: the engine ends the stream, which goes on
 // from the copy.
 type move struct {
-	done   chan struct{}
-	target *registrar.Target
-	copied string
-	stay   *placer.Stay
+	done        chan struct{}
+	target      *registrar.Target
+	copied      string
+	reservation *placer.Reservation
 }
 
-func (j *job) end(stay *placer.Stay) {
-	if stay == nil {
+func (j *job) end(reservation *placer.Reservation) {
+	if reservation == nil {
 		return
 	}
 	j.mu.Lock()
-	stay.End()
+	reservation.End()
 	j.mu.Unlock()
 }
 
 // read notes that a request's prompt has been read.
-func (j *job) read(stay *placer.Stay) {
-	if stay == nil {
+func (j *job) read(reservation *placer.Reservation) {
+	if reservation == nil {
 		return
 	}
 	j.mu.Lock()
-	stay.Read()
+	reservation.Read()
 	j.mu.Unlock()
 }
 
 // grow notes that a generation has outgrown the length that was expected.
-func (j *job) grow(s *stream, stay *placer.Stay) {
+func (j *job) grow(s *stream, reservation *placer.Reservation) {
 	if j.service.Engine == nil || !j.route.Generates {
 		return
 	}
 	made := s.made * j.service.Engine.TokensPerEvent
 	expected := max(j.expected(), int(float64(made)*(1+restPart)))
 	j.mu.Lock()
-	stay.Need(j.request.PromptTokens + expected)
+	reservation.Need(j.request.PromptTokens + expected)
 	j.mu.Unlock()
 }
 
 // stream passes events on as they come, also from other engines.
-func (j *job) stream(t *registrar.Target, answer *exchanger.Answer, stay *placer.Stay) {
+func (j *job) stream(t *registrar.Target, answer *exchanger.Answer, reservation *placer.Reservation) {
 	s := &stream{job: j, target: t}
 	j.mu.Lock()
 	j.streams[s] = struct{}{}
@@ -107,22 +107,22 @@
 		if answer != nil {
 			answer.Close()
 		}
-		j.end(stay)
+		j.end(reservation)
 	}()
 	for {
-		err := s.pump(answer, stay)
+		err := s.pump(answer, reservation)
 		if err == nil {
 			j.note("answered", bluebelldoor.OK, "", append(s.times(), "moves", moves)...)
 			return
 		}
 		answer.Close()
-		j.end(stay)
+		j.end(reservation)
 		if j.ctx.Err() != nil {
 			s.abort(err)
 			return
 		}
 		s.resumed = true
-		answer, stay = s.goOn(err)
+		answer, reservation = s.goOn(err)
 		if answer == nil {
 			s.abort(err)
 			return
@@ -138,7 +138,7 @@
 	s.mu.Unlock()
 	if m != nil {
 		// A move that the stream did not wait for.
-		j.end(m.stay)
+		j.end(m.reservation)
 	}
 	j.mu.Lock()
 	delete(j.streams, s)
@@ -161,12 +161,12 @@
 
 // pump passes whole events on until the answer ends. It returns nil if the
 // answer was whole.
-func (s *stream) pump(answer *exchanger.Answer, stay *placer.Stay) error {
+func (s *stream) pump(answer *exchanger.Answer, reservation *placer.Reservation) error {
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
-			if failed := s.pass(buffer[:n], stay); failed != nil {
+			if failed := s.pass(buffer[:n], reservation); failed != nil {
 				return failed
 			}
 		}
@@ -219,7 +219,7 @@
 	}
 }
 
-func (s *stream) pass(part []byte, stay *placer.Stay) error {
+func (s *stream) pass(part []byte, reservation *placer.Reservation) error {
 	whole := s.events.add(part)
 	if len(whole) == 0 {
 		return nil
@@ -233,11 +233,11 @@
 	s.made = s.events.count
 	s.mu.Unlock()
 	s.events.taken(len(whole))
-	if stay != nil && s.made%needEvery == 0 {
-		s.job.grow(s, stay)
+	if reservation != nil && s.made%needEvery == 0 {
+		s.job.grow(s, reservation)
 	}
 	if first {
-		s.job.read(stay)
+		s.job.read(reservation)
 		s.job.Metrics.FirstByte(s.job.priority, s.job.clock.Now()-s.job.arrived)
 	}
 	return nil
@@ -245,14 +245,14 @@
 
 // goOn continues a stream that its engine has ended: from a copy, or, where
 // the route allows it, after the last event at any target.
-func (s *stream) goOn(cause error) (*exchanger.Answer, *placer.Stay) {
+func (s *stream) goOn(cause error) (*exchanger.Answer, *placer.Reservation) {
 	s.events.drop()
 	s.mu.Lock()
 	m := s.move
 	s.mu.Unlock()
 	if m != nil {
-		if answer, stay := s.fromCopy(m); answer != nil {
-			return answer, stay
+		if answer, reservation := s.fromCopy(m); answer != nil {
+			return answer, reservation
 		}
 	}
 	if !s.job.route.Resumable {
@@ -262,7 +262,7 @@
 }
 
 // fromCopy waits for the last copy and goes on from it.
-func (s *stream) fromCopy(m *move) (*exchanger.Answer, *placer.Stay) {
+func (s *stream) fromCopy(m *move) (*exchanger.Answer, *placer.Reservation) {
 	j := s.job
 	select {
 	case <-m.done:
@@ -277,16 +277,16 @@
 	case <-m.done:
 	default:
 		j.log.Warn("copy not ready in time", "id", j.request.ID, "source", source.ID)
-		j.end(m.stay)
+		j.end(m.reservation)
 		return nil, nil
 	}
 	if m.copied == "" {
 		return nil, nil
 	}
 	if answer := s.sendCopy(m.target, m.copied); answer != nil {
-		return answer, m.stay
+		return answer, m.reservation
 	}
-	j.end(m.stay)
+	j.end(m.reservation)
 	if source.ID == m.target.ID {
 		return nil, nil
 	}
@@ -334,11 +334,11 @@
 }
 
 // resume goes on after the last event at another target, as a new run.
-func (s *stream) resume(cause error) (*exchanger.Answer, *placer.Stay) {
+func (s *stream) resume(cause error) (*exchanger.Answer, *placer.Reservation) {
 	j := s.job
 	j.excluded[s.target.ID] = true
 	for j.mayRepeat() {
-		t, stay, refusal := j.place()
+		t, reservation, refusal := j.place()
 		if refusal != nil {
 			j.log.Info("stream not resumed", "id", j.request.ID, "why", refusal.Error())
 			return nil, nil
@@ -354,12 +354,12 @@
 			s.target = t
 			s.mu.Unlock()
 			j.log.Info("stream resumed", "id", j.request.ID, "target", t.ID, "after", after, "cause", cause.Error())
-			return answer, stay
+			return answer, reservation
 		}
 		if err == nil {
 			answer.Close()
 		}
-		j.end(stay)
+		j.end(reservation)
 		j.runs++
 		j.excluded[t.ID] = true
 	}
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -39,8 +39,8 @@
 
 // try sends the request to a target, and reports whether the caller has its
 // final answer.
-func (j *job) try(t *registrar.Target, stay *placer.Stay) bool {
-	defer j.end(stay)
+func (j *job) try(t *registrar.Target, reservation *placer.Reservation) bool {
+	defer j.end(reservation)
 	if j.route.Generates {
 		j.sources.Placed()
 	}
@@ -61,7 +61,7 @@
 	}
 	j.outcome(t, status >= http.StatusInternalServerError)
 	if j.route.Streamed && status == http.StatusOK {
-		j.stream(t, answer, stay)
+		j.stream(t, answer, reservation)
 		return true
 	}
 	return j.whole(t, answer)
