Log each target at which a stream could not go on

Cause: the loop that looks for another target dropped the error or status of each try, so the log told that a stream had broken off but not why.

Ruled out: a change of what is sent where; a log line is all that is new.

Before: no line for a try that failed. After: one with the request's ID, the target, the last event and the reason.

Conclusion: a stream's end is explained by its ID alone.

--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -357,8 +357,10 @@
 			return answer, reservation
 		}
 		if err == nil {
+			err = errors.Errorf("status %d", answer.Response().StatusCode)
 			answer.Close()
 		}
+		j.log.Warn("stream not resumed", "id", j.request.ID, "target", t.ID, "after", after, "why", err.Error())
 		j.end(reservation)
 		j.runs++
 		j.excluded[t.ID] = true
