--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -206,6 +206,25 @@
 	}
 }
 
+// TestOpen closes an earlier start of a target to those that still hold it.
+func TestOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newCatalogue()
+		v := start(t, store, true)
+		store.put("t/x", "ready/1")
+		synctest.Wait()
+		held := v.View().Target("x").Instance
+		assert.Assert(t, v.View().Open(held))
+		store.put("t/x", "ready/2")
+		synctest.Wait()
+		assert.Assert(t, v.open("x"))
+		assert.Assert(t, !v.View().Open(held))
+		moved := *v.View().Target("x").Instance
+		moved.Address = "127.0.0.1:1"
+		assert.Assert(t, !v.View().Open(&moved))
+	})
+}
+
 // TestVersions never goes back, whatever the platform says.
 func TestVersions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
