Let generations wait on their VM until an engine has room

Engines read first in, first out: with 11,000 to 37,000 tokens of prompts before it, the median first event came after 2.8 to 3.4 s from 22 s on, for all alike, until the backlog had gone. Engines full of long generations pushed out the newest of them for each short one (57 times, 108,000 tokens read again), and had no room for copies: 113 of 139 failed copies were answered 503 with 30,000 of 34,200 tokens in use.

Now a generation is sent when an engine has room: prompts of 0.8 s, 0.9 of the memory in use, 1.2 to be needed. Those that can still begin in time go first. VMs tell each other what they hold in use. Those that can't be served in their time are refused at once.

What is left are engines that can't be emptied within their notice, and callers beyond what can be read.

--- a/code.go
+++ b/code.go
@@ -97,7 +97,7 @@
 	ColdTargets:       {"coldTargets", 503, "the targets are cold and this VM holds no free slot"},
 	NoWitness:         {"noWitness", 503, "the key's witness did not confirm; the key is dead"},
 	RetryBudget:       {"retryBudget", 503, "the retry budget is used up"},
-	EnginesCrowded:    {"enginesCrowded", 503, "no engine could begin the generation in time"},
+	EnginesCrowded:    {"enginesCrowded", 503, "no engine has room for the generation in its time"},
 	BodiesHeld:        {"bodiesHeld", 503, "this VM holds as many request bodies as it may"},
 	TargetLost:        {"targetLost", 502, "the target was lost after tokens were delivered"},
 	AnswerTruncated:   {"answerTruncated", 502, "the target's answer ended early"},
--- a/fleet.go
+++ b/fleet.go
@@ -33,6 +33,8 @@
 	Requests int    `cbor:"requests"`
 	// Tokens is the memory that the VM's generations there will come to need.
 	Tokens int `cbor:"tokens"`
+	// Held is the memory that it has there now, with the prompts that wait.
+	Held int `cbor:"held"`
 	// Prefill is how many tokens of prompts there wait to be read.
 	Prefill int `cbor:"prefill"`
 }
--- a/process/recorder/relay.go
+++ b/process/recorder/relay.go
@@ -15,6 +15,7 @@
 	registry  *prometheus.Registry
 	seconds   *prometheus.HistogramVec
 	firstByte *prometheus.HistogramVec
+	waits     *prometheus.HistogramVec
 	outcomes  *prometheus.CounterVec
 	moves     *prometheus.CounterVec
 }
@@ -25,6 +26,7 @@
 		registry:  prometheus.NewRegistry(),
 		seconds:   relayHistogram("request_seconds", "Time from a request's arrival to its final answer."),
 		firstByte: relayHistogram("first_event_seconds", "Time from a request's arrival to its first event."),
+		waits:     relayHistogram("room_wait_seconds", "Time that a generation waited until an engine had room, if none had at once."),
 		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "answers_total", Help: "Final answers by result code.",
 		}, []string{"code"}),
@@ -32,7 +34,7 @@
 			Namespace: namespace, Name: "moves_total", Help: "Steps of generations that moved, by outcome.",
 		}, []string{"outcome"}),
 	}
-	m.registry.MustRegister(m.seconds, m.firstByte, m.outcomes, m.moves)
+	m.registry.MustRegister(m.seconds, m.firstByte, m.waits, m.outcomes, m.moves)
 	return m
 }
 
@@ -56,6 +58,11 @@
 	m.firstByte.WithLabelValues(strconv.Itoa(priority)).Observe(took.Seconds())
 }
 
+// Waited notes how long a generation waited until an engine had room.
+func (m *RelayMetrics) Waited(priority int, took time.Duration) {
+	m.waits.WithLabelValues(strconv.Itoa(priority)).Observe(took.Seconds())
+}
+
 // Moved counts a step of a generation that moves.
 func (m *RelayMetrics) Moved(outcome string) { m.moves.WithLabelValues(outcome).Inc() }
 
@@ -66,6 +73,8 @@
 	Members         float64
 	Hubs            float64
 	Requests        float64
+	// Waiting counts generations for which no engine has room.
+	Waiting float64
 }
 
 // Watch shows gauges, read when the metrics are, and the log lines that were
@@ -80,6 +89,7 @@
 		"members":              {"VMs that are alive.", func(g Gauges) float64 { return g.Members }},
 		"hubs":                 {"VMs that serve callers.", func(g Gauges) float64 { return g.Hubs }},
 		"requests":             {"Requests under way on this VM.", func(g Gauges) float64 { return g.Requests }},
+		"waiting":              {"Generations that wait for an engine with room.", func(g Gauges) float64 { return g.Waiting }},
 	} {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: g.help}, func() float64 { return g.of(read()) }))
 	}
--- a/process/runner/relaystatus.go
+++ b/process/runner/relaystatus.go
@@ -19,6 +19,8 @@
 	Members       []string `json:"members"`
 	Hubs          []string `json:"hubs"`
 	Requests      int      `json:"requests"`
+	// Waiting counts generations for which no engine has room yet.
+	Waiting int `json:"waiting"`
 }
 
 // Status returns the VM's state.
@@ -26,6 +28,7 @@
 	s := RelayStatus{
 		VM: r.settings.Name, DataCentre: r.settings.DataCentre, Life: r.life.MustState().(Life),
 		Serves: r.gossiper.IsHub(), Revision: r.registrar.Revision(), EvidenceAgeMs: -1, Requests: r.acceptor.Busy(),
+		Waiting: r.relayer.Waiting(),
 	}
 	if routing := r.registrar.View().Routing(); routing != nil {
 		s.RoutingVersion = routing.Version()
@@ -48,5 +51,6 @@
 	return recorder.Gauges{
 		RoutingVersion: float64(s.RoutingVersion), EvidenceSeconds: float64(s.EvidenceAgeMs) / 1000,
 		Members: float64(len(s.Members)), Hubs: float64(len(s.Hubs)), Requests: float64(s.Requests),
+		Waiting: float64(s.Waiting),
 	}
 }
--- a/request/placer/ledger.go
+++ b/request/placer/ledger.go
@@ -26,7 +26,8 @@
 // load is what runs on a target.
 type load struct {
 	requests int
-	tokens   int
+	tokens   int // that will come to be needed
+	held     int // that are needed now
 	prefill  int
 }
 
@@ -43,6 +44,8 @@
 	stalls map[string]fading
 	// unreachable is when a target last took no connection.
 	unreachable map[string]time.Duration
+	// readRate is how many tokens of prompts an engine reads in a second.
+	readRate float64
 }
 
 type peerLoads struct {
@@ -61,6 +64,7 @@
 
 		unreachable: map[string]time.Duration{},
 		stalls:      map[string]fading{},
+		readRate:    startReadRate,
 	}
 }
 
@@ -69,13 +73,18 @@
 	ledger  *Ledger
 	target  string
 	tokens  int
+	held    int
 	prefill int
 	ended   bool
+	// ahead is what the target had to read when the request was sent at since.
+	ahead int
+	since time.Duration
 }
 
-// Start notes that a request goes to a target. tokens is the memory that it
-// will come to need there, prefill the part of its prompt to be read.
-func (l *Ledger) Start(target string, tokens, prefill int) *Reservation {
+// Start notes that a request goes to a target at now. tokens is the memory that
+// it will come to need there, prefill the part of its prompt to be read.
+func (l *Ledger) Start(target string, tokens, prefill int, now time.Duration) *Reservation {
+	ahead := l.sums[target].prefill
 	own := l.own[target]
 	if own == nil {
 		own = &load{}
@@ -83,28 +92,38 @@
 	}
 	own.requests++
 	own.tokens += tokens
+	own.held += prefill
 	own.prefill += prefill
 	l.dirty = true
-	return &Reservation{ledger: l, target: target, tokens: tokens, prefill: prefill}
+	return &Reservation{ledger: l, target: target, tokens: tokens, held: prefill, prefill: prefill, ahead: ahead, since: now}
 }
 
-// Read notes that the prompt has been read.
-func (s *Reservation) Read() {
+// Read notes that the prompt has been read by now.
+func (s *Reservation) Read(now time.Duration) {
 	if s.ended || s.prefill == 0 {
 		return
 	}
+	s.ledger.begun(s.ahead+s.prefill, now-s.since)
+	s.unread()
+}
+
+// unread takes the prompt off what the target has to read.
+func (s *Reservation) unread() {
 	s.ledger.own[s.target].prefill -= s.prefill
 	s.prefill = 0
 	s.ledger.dirty = true
 }
 
-// Need changes the memory that the request will come to need.
-func (s *Reservation) Need(tokens int) {
-	if s.ended || tokens == s.tokens {
+// Need changes the memory that the request will come to need, and that it has
+// now.
+func (s *Reservation) Need(tokens, held int) {
+	if s.ended {
 		return
 	}
-	s.ledger.own[s.target].tokens += tokens - s.tokens
-	s.tokens = tokens
+	own := s.ledger.own[s.target]
+	own.tokens += tokens - s.tokens
+	own.held += held - s.held
+	s.tokens, s.held = tokens, held
 	s.ledger.dirty = true
 }
 
@@ -113,11 +132,12 @@
 	if s.ended {
 		return
 	}
-	s.Read()
+	s.unread()
 	s.ended = true
 	own := s.ledger.own[s.target]
 	own.requests--
 	own.tokens -= s.tokens
+	own.held -= s.held
 	if own.requests == 0 {
 		delete(s.ledger.own, s.target)
 	}
@@ -198,7 +218,7 @@
 func (l *Ledger) Own() []bluebelldoor.TargetLoad {
 	out := make([]bluebelldoor.TargetLoad, 0, len(l.own))
 	for target, own := range l.own {
-		out = append(out, bluebelldoor.TargetLoad{Target: target, Requests: own.requests, Tokens: own.tokens, Prefill: own.prefill})
+		out = append(out, bluebelldoor.TargetLoad{Target: target, Requests: own.requests, Tokens: own.tokens, Held: own.held, Prefill: own.prefill})
 	}
 	return out
 }
@@ -207,7 +227,7 @@
 func (l *Ledger) Peer(name string, loads []bluebelldoor.TargetLoad, now time.Duration) {
 	p := peerLoads{at: now, loads: make(map[string]load, len(loads))}
 	for _, t := range loads {
-		p.loads[t.Target] = load{requests: t.Requests, tokens: t.Tokens, prefill: t.Prefill}
+		p.loads[t.Target] = load{requests: t.Requests, tokens: t.Tokens, held: t.Held, prefill: t.Prefill}
 	}
 	l.peers[name] = p
 	l.dirty = true
@@ -234,6 +254,7 @@
 			sum := l.sums[target]
 			sum.requests += peer.requests
 			sum.tokens += peer.tokens
+			sum.held += peer.held
 			sum.prefill += peer.prefill
 			l.sums[target] = sum
 		}
--- /dev/null
+++ b/request/placer/line.go
@@ -0,0 +1,89 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Waiting is a generation that waits until a target has room for it.
+type Waiting[T any] struct {
+	Value T
+	// Priority is its rank; 0 goes first.
+	Priority int
+	Arrived  time.Duration
+	// InTime is until when it must be sent to begin within its objective.
+	InTime time.Duration
+	// Latest is until when it must be sent to be of any use.
+	Latest time.Duration
+}
+
+func (w *Waiting[T]) late(now time.Duration) bool { return now > w.InTime }
+
+// Line orders the generations that wait on a VM: those that can still begin in
+// time go before those that are late, for whom a moment more matters less;
+// then by priority, then by arrival. A first-in first-out queue makes all
+// late for as long as an overload and the backlog that it leaves last. Latest
+// bounds how long one that is late is passed by. It is not safe for concurrent
+// use.
+type Line[T any] struct {
+	waiting []*Waiting[T]
+}
+
+// Add puts a generation in the line.
+func (l *Line[T]) Add(w *Waiting[T]) { l.waiting = append(l.waiting, w) }
+
+// Len returns how many wait.
+func (l *Line[T]) Len() int { return len(l.waiting) }
+
+// Remove takes one out, that has got a target or whose caller has left, and
+// reports whether it was there.
+func (l *Line[T]) Remove(w *Waiting[T]) bool {
+	i := slices.Index(l.waiting, w)
+	if i < 0 {
+		return false
+	}
+	l.waiting = slices.Delete(l.waiting, i, i+1)
+	return true
+}
+
+// Overdue takes out those that can no longer be served.
+func (l *Line[T]) Overdue(now time.Duration) []*Waiting[T] {
+	var over []*Waiting[T]
+	l.waiting = slices.DeleteFunc(l.waiting, func(w *Waiting[T]) bool {
+		if now <= w.Latest {
+			return false
+		}
+		over = append(over, w)
+		return true
+	})
+	return over
+}
+
+// Drain takes all out.
+func (l *Line[T]) Drain() []*Waiting[T] {
+	all := l.waiting
+	l.waiting = nil
+	return all
+}
+
+// Order returns those that wait, the one to be served first in front.
+func (l *Line[T]) Order(now time.Duration) []*Waiting[T] {
+	order := slices.Clone(l.waiting)
+	slices.SortStableFunc(order, func(a, b *Waiting[T]) int {
+		return cmp.Or(before(!a.late(now), !b.late(now)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Arrived, b.Arrived))
+	})
+	return order
+}
+
+// before orders true before false.
+func before(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -41,18 +41,6 @@
 	jitter = 0.05
 )
 
-const (
-	// readPerSecond is how many tokens of prompts an engine reads in a second,
-	// beside the generations that run.
-	readPerSecond = 10_000
-	// fullShare is the part of an engine's memory above which a generation
-	// would wait for others to end, or push them out.
-	fullShare = 1.1
-	// objectivePart is the part of a route's objective that the prompts before
-	// a generation may take.
-	objectivePart = 0.7
-)
-
 // Candidate is a target that may be used.
 type Candidate struct {
 	Instance *bluebelldoor.Instance
@@ -63,7 +51,9 @@
 // Demand is what a request needs.
 type Demand struct {
 	// Tokens is the memory that it will come to need, 0 if it is no generation.
-	Tokens     int
+	Tokens int
+	// Held is the memory that it needs at once.
+	Held       int
 	DataCentre string
 	Engine     *bluebelldoor.EngineKind
 	// ColdPerSecond is how many requests a cold target may get from this VM in
@@ -73,6 +63,8 @@
 	// prompt is not read again, and targets of the data centre go first, for
 	// copies to others take twice as long.
 	Copied bool
+	// Limits, if any, bound the targets that have room.
+	Limits *Limits
 }
 
 // Choice is the outcome of Pick.
@@ -83,19 +75,13 @@
 	// Full tells that the chosen candidate has no place left.
 	Full bool
 	// Requests, Tokens and Prefill are what it is thought to have.
-	Requests, Tokens, Prefill int
+	Requests, Tokens, Held, Prefill int
 	// Share is the part of its memory that would come to be needed.
 	Share float64
 	// Failures is its share of failed answers.
 	Failures float64
-}
-
-// Crowded reports whether a long generation could not begin in time even at
-// the chosen candidate, and how long the prompts before it take.
-func (c Choice) Crowded(objective time.Duration) (time.Duration, bool) {
-	wait := time.Duration(float64(c.Prefill) / readPerSecond * float64(time.Second))
-	limit := time.Duration(float64(objective) * objectivePart)
-	return wait, c.Share > fullShare || limit > 0 && wait > limit
+	// Lacks is what the targets lacked if none was chosen for want of room.
+	Lacks Room
 }
 
 // Pick chooses the candidate with the lowest cost at now. random returns
@@ -108,6 +94,10 @@
 		if c.Cold && !l.coldRoom(c.Instance.ID, d.ColdPerSecond, now) {
 			continue
 		}
+		if lacks := l.lacks(c, d); lacks != HasRoom {
+			best.Lacks = max(best.Lacks, lacks)
+			continue
+		}
 		cost, full := l.cost(c, d, usual)
 		cost += l.stallCost(c, d, now)
 		if l.isUnreachable(c.Instance.ID, now) {
@@ -118,7 +108,7 @@
 			sum := l.sums[c.Instance.ID]
 			best = Choice{
 				Index: i, Cost: cost, Full: full,
-				Requests: sum.requests, Tokens: sum.tokens, Prefill: sum.prefill, Failures: l.failures[c.Instance.ID],
+				Requests: sum.requests, Tokens: sum.tokens, Held: sum.held, Prefill: sum.prefill, Failures: l.failures[c.Instance.ID],
 			}
 			if d.Engine != nil {
 				best.Share = float64(sum.tokens+d.Tokens) / float64(max(1, d.Engine.MemoryTokens))
--- /dev/null
+++ b/request/placer/room.go
@@ -0,0 +1,103 @@
+package placer
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// startReadRate is how many tokens of prompts an engine is taken to read in
+	// a second before any has been seen to, beside the generations that run.
+	startReadRate = 10_000
+	// leastReadRate and mostReadRate bound what is believed of an observation.
+	leastReadRate = 1_000
+	mostReadRate  = 100_000
+	// readWeight is the weight of the newest observation.
+	readWeight = 0.05
+	// queueTime is how long the prompts may take that an engine has yet to
+	// read when it gets another: enough to keep it busy until the next word
+	// from peers, little enough that the order is made here.
+	queueTime = 800 * time.Millisecond
+	// heldShare is the part of an engine's memory that may be in use when it
+	// gets a generation. Above it the next tokens push one out.
+	heldShare = 0.9
+	// neededShare is the part that long generations together may come to need.
+	// They end at different times, so not all of it is needed at once.
+	neededShare = 1.2
+)
+
+// Room tells whether a target has room for a generation.
+type Room int
+
+// What a target may lack.
+const (
+	// HasRoom lets the generation begin.
+	HasRoom Room = iota
+	// NoReading is a target that has prompts enough to read, or no place.
+	NoReading
+	// NoMemory is a target that could read the prompt, but whose memory the
+	// generations there will need.
+	NoMemory
+)
+
+// String names the room, for log lines.
+func (r Room) String() string { return [...]string{"room", "prompts", "memory"}[r] }
+
+// Limits bound what a target may have when it gets a generation.
+type Limits struct {
+	// Prompts are the tokens that may wait to be read.
+	Prompts float64
+	// Held is the part of the memory that may be in use, Needed the part that
+	// may come to be needed; 0 for no limit.
+	Held, Needed float64
+}
+
+// Limits returns those of a new generation. What a short one will come to need
+// it needs for a moment only.
+func (l *Ledger) Limits(short bool) *Limits {
+	limits := &Limits{Prompts: l.readRate * queueTime.Seconds(), Held: heldShare, Needed: neededShare}
+	if short {
+		limits.Needed = 0
+	}
+	return limits
+}
+
+// CopyLimits are those of a generation that is copied.
+var CopyLimits = &Limits{Prompts: math.Inf(1), Held: 1}
+
+// lacks returns what a target lacks for a generation. One that does nothing
+// has room for any.
+func (l *Ledger) lacks(c Candidate, d Demand) Room {
+	sum := l.sums[c.Instance.ID]
+	if d.Limits == nil || d.Engine == nil || sum.requests == 0 {
+		return HasRoom
+	}
+	memory := float64(d.Engine.MemoryTokens)
+	switch {
+	case float64(sum.prefill) > d.Limits.Prompts || c.Instance.Slots > 0 && sum.requests >= c.Instance.Slots:
+		return NoReading
+	case float64(sum.held+d.Held) > d.Limits.Held*memory,
+		d.Limits.Needed > 0 && float64(sum.tokens+d.Tokens) > d.Limits.Needed*memory:
+		return NoMemory
+	default:
+		return HasRoom
+	}
+}
+
+// ReadRate returns how many tokens of prompts an engine reads in a second, as
+// seen of late.
+func (l *Ledger) ReadRate() float64 { return l.readRate }
+
+// begun notes that an engine took so long to read a prompt and those before it.
+func (l *Ledger) begun(tokens int, took time.Duration) {
+	if tokens <= 0 || took <= 0 {
+		return
+	}
+	seen := min(max(float64(tokens)/took.Seconds(), leastReadRate), mostReadRate)
+	l.readRate += readWeight * (seen - l.readRate)
+}
+
+// InTime returns until when a generation must be sent to begin by objective.
+func (l *Ledger) InTime(objective time.Duration, prompt int) time.Duration {
+	return objective - queueTime - time.Duration(float64(prompt)/l.readRate*float64(time.Second))
+}
--- a/request/relayer/crowd.go
+++ b/request/relayer/crowd.go
@@ -1,11 +1,11 @@
 package relayer
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"bluebelldoor"
+	"bluebelldoor/process/registrar"
 	"bluebelldoor/request/placer"
 )
 
@@ -17,39 +17,200 @@
 	latestReturn  = 13 * time.Second
 	// returnPart is the part of the time left that callers wait at most.
 	returnPart = 1.0 / 3
-	// firstAttempt is how close to the route's timeout the caller's time is in
-	// its first attempt; one that comes back has less.
-	firstAttempt = 900 * time.Millisecond
+	// patience is how many objectives a caller is kept waiting for room: beyond
+	// that few still want the answer.
+	patience = 3
 	// longTokens is how many expected tokens make a generation that holds its
 	// memory for seconds; shorter ones make room again soon.
 	longTokens = 150
+	// roomPoll is how often room is looked for while generations wait: short
+	// beside the tenth of a second that an engine takes to read a prompt.
+	roomPoll = 10 * time.Millisecond
+	// tokenTime is how long an engine takes for a token of a generation at
+	// most, for what can no longer end in time: the objective between tokens.
+	tokenTime = 20 * time.Millisecond
 )
 
-// crowded refuses a generation that no engine could begin in time, so that
-// those which run are not slowed and the caller comes back when there is room.
-// One that has come back is not refused again.
-func (j *job) crowded(best placer.Choice) *bluebelldoor.Refusal {
-	if j.service.Engine == nil || !j.route.Generates || j.runs > 0 || j.returning() || j.expected() < longTokens {
-		return nil
+// placement is what a generation that waited gets: a target, or a refusal.
+type placement struct {
+	target      *registrar.Target
+	reservation *placer.Reservation
+	refusal     *bluebelldoor.Refusal
+}
+
+// waiter is a generation in the line, and where its placement goes.
+type waiter struct {
+	job    *job
+	placed chan placement
+}
+
+// waits reports whether the request takes its place in the line: a generation
+// that no target has been asked for yet. Others go on at once.
+func (j *job) waits() bool {
+	return j.service.Engine != nil && j.route.Generates && j.runs == 0 && j.unrun == 0 && j.unsends == 0
+}
+
+// long reports whether the generation holds its memory for seconds.
+func (j *job) long() bool { return j.expected() >= longTokens }
+
+// wait puts the generation in the line and returns what it gets.
+func (j *job) wait() (*registrar.Target, *placer.Reservation, *bluebelldoor.Refusal) {
+	w := j.enter()
+	j.admitWaiting()
+	select {
+	case p := <-w.Value.placed:
+		return p.target, p.reservation, p.refusal
+	default:
+	}
+	j.awaitRoom()
+	select {
+	case p := <-w.Value.placed:
+		j.Metrics.Waited(j.priority, j.clock.Now()-w.Arrived)
+		return p.target, p.reservation, p.refusal
+	case <-j.ctx.Done():
+		return j.leaveLine(w)
+	}
+}
+
+// enter puts the generation in the line, unless it can't be served in time.
+func (j *job) enter() *placer.Waiting[*waiter] {
+	w := &placer.Waiting[*waiter]{
+		Value:    &waiter{job: j, placed: make(chan placement, 1)},
+		Priority: j.priority,
+		Arrived:  j.firstArrived(),
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	w.Latest = j.latest()
+	w.InTime = w.Latest
+	if objective := j.route.Objective; objective > 0 {
+		w.InTime = w.Arrived + j.ledger.InTime(objective, j.request.PromptTokens)
+	}
+	j.line.Add(w)
+	return w
+}
+
+// firstArrived returns when the caller first asked: one that comes back has
+// less time than the route gives, and keeps its place among those that wait.
+func (j *job) firstArrived() time.Duration {
+	if used := j.route.Timeout - j.request.Within; j.request.Within > 0 && used > 0 {
+		return j.arrived - used
+	}
+	return j.arrived
+}
+
+// latest returns until when the generation must be sent to be of use: to begin
+// while its caller still waits, and to end in its time. It needs the ledger's
+// lock.
+func (j *job) latest() time.Duration {
+	read := time.Duration(float64(j.request.PromptTokens) / j.ledger.ReadRate() * float64(time.Second))
+	latest := j.arrived + forgetAfter
+	if j.deadline > 0 {
+		latest = j.deadline - time.Duration(min(j.expected(), longTokens))*tokenTime
 	}
-	wait, crowded := best.Crowded(j.route.Objective)
-	if !crowded {
-		return nil
+	if objective := j.route.Objective; objective > 0 {
+		latest = min(latest, j.arrived+patience*objective)
 	}
-	detail := fmt.Sprintf("the emptiest engine would need %.2f of its memory and has %s of prompts to read", best.Share, wait.Round(time.Millisecond))
-	return bluebelldoor.Refuse(bluebelldoor.EnginesCrowded, detail).WithRetryAfter(j.comeLater())
+	return latest - read
 }
 
-// returning reports whether the caller has been refused before.
-func (j *job) returning() bool {
-	return j.request.Within > 0 && j.route.Timeout > 0 && j.request.Within < j.route.Timeout-firstAttempt
+// leaveLine ends the wait of a request whose time is over or whose caller has
+// left. It may have been placed in the same moment.
+func (j *job) leaveLine(w *placer.Waiting[*waiter]) (*registrar.Target, *placer.Reservation, *bluebelldoor.Refusal) {
+	j.mu.Lock()
+	waited := j.line.Remove(w)
+	j.mu.Unlock()
+	if !waited {
+		p := <-w.Value.placed
+		return p.target, p.reservation, p.refusal
+	}
+	return nil, nil, nil
+}
+
+// awaitRoom sees to it that room is looked for while generations wait.
+func (r *Relayer) awaitRoom() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.looking || r.line.Len() == 0 {
+		return
+	}
+	r.looking = true
+	go r.lookForRoom()
+}
+
+func (r *Relayer) lookForRoom() {
+	for {
+		time.Sleep(roomPoll)
+		r.admitWaiting()
+		r.mu.Lock()
+		if r.line.Len() == 0 {
+			r.looking = false
+			r.mu.Unlock()
+			return
+		}
+		r.mu.Unlock()
+	}
+}
+
+// admitWaiting sends generations from the line to targets that have room.
+func (r *Relayer) admitWaiting() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	if r.leaving.Load() {
+		for _, w := range r.line.Drain() {
+			w.Value.refuse(bluebelldoor.Refuse(bluebelldoor.Draining, "this VM is leaving").WithRetryAfter(comeBack / 10))
+		}
+		return
+	}
+	for _, w := range r.line.Overdue(now) {
+		w.Value.refuse(bluebelldoor.Refuse(bluebelldoor.EnginesCrowded, "no engine had room in time").WithRetryAfter(w.Value.job.comeLater()))
+	}
+	longs := true
+	for _, w := range r.line.Order(now) {
+		long := w.Value.job.long()
+		if long && !longs {
+			continue
+		}
+		switch w.Value.place(now) {
+		case placer.HasRoom:
+			r.line.Remove(w)
+		case placer.NoMemory:
+			longs = longs && !long
+		case placer.NoReading:
+			return
+		}
+	}
+}
+
+func (w *waiter) refuse(refusal *bluebelldoor.Refusal) { w.placed <- placement{refusal: refusal} }
+
+// place gives the generation a target that has room for it.
+func (w *waiter) place(now time.Duration) placer.Room {
+	j := w.job
+	targets, candidates := j.candidates(now)
+	if len(targets) == 0 {
+		w.refuse(bluebelldoor.Refuse(bluebelldoor.NoTarget, "no target of the service may take work").WithRetryAfter(comeBack))
+		return placer.HasRoom
+	}
+	demand := j.demand()
+	demand.Limits = j.ledger.Limits(!j.long())
+	choice := j.ledger.Pick(candidates, demand, now, rand.Float64)
+	if choice.Index < 0 {
+		return max(choice.Lacks, placer.NoReading)
+	}
+	target := targets[choice.Index]
+	w.placed <- placement{target: target, reservation: j.start(target, candidates[choice.Index].Cold, demand, now)}
+	j.chosen(target, choice, len(targets), now)
+	return placer.HasRoom
 }
 
-// comeLater returns when a refused caller may come back.
+// comeLater returns when a refused caller may come back. One that has not the
+// time for another try is told when engines have room, not sooner.
 func (j *job) comeLater() time.Duration {
 	d := soonestReturn + time.Duration(rand.Int64N(int64(latestReturn-soonestReturn)))
-	if left := j.left(); left > 0 {
-		d = min(d, time.Duration(float64(left)*returnPart))
+	if sooner := time.Duration(float64(j.left()) * returnPart); j.left()-sooner > patience*j.route.Objective {
+		d = min(d, sooner)
 	}
 	return d
 }
--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -169,14 +169,20 @@
 		}
 	}
 	demand := j.demand()
-	demand.DataCentre, demand.Copied = source.DataCentre, true
+	demand.DataCentre, demand.Copied, demand.Held, demand.Limits = source.DataCentre, true, tokens, placer.CopyLimits
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	choice := j.ledger.Pick(candidates[:kept], demand, now, rand.Float64)
+	if choice.Index < 0 {
+		demand.Limits = nil
+		choice = j.ledger.Pick(candidates[:kept], demand, now, rand.Float64)
+	}
 	if choice.Index < 0 {
 		return nil, nil
 	}
-	return targets[choice.Index], j.ledger.Start(targets[choice.Index].ID, max(tokens, demand.Tokens), 0)
+	reservation := j.ledger.Start(targets[choice.Index].ID, 0, 0, now)
+	reservation.Need(max(tokens, demand.Tokens), tokens)
+	return targets[choice.Index], reservation
 }
 
 // copyTo copies a generation to a destination. The reservation there ends with it
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -18,7 +18,7 @@
 func (j *job) demand() placer.Demand {
 	d := placer.Demand{DataCentre: j.settings.Load().DataCentre, Engine: j.service.Engine, ColdPerSecond: -1}
 	if j.route.Generates {
-		d.Tokens = j.request.PromptTokens + j.expected()
+		d.Tokens, d.Held = j.request.PromptTokens+j.expected(), j.request.PromptTokens
 	}
 	if j.service.ColdPerSecond > 0 {
 		bounds := j.settings.Load()
@@ -40,40 +40,44 @@
 }
 
 // place chooses a target for the request and notes the request there, so that
-// the next one that is placed sees it.
+// the next one that is placed sees it. Without target and refusal, the time is
+// over or the caller has left.
 func (j *job) place() (*registrar.Target, *placer.Reservation, *bluebelldoor.Refusal) {
+	if j.waits() {
+		return j.wait()
+	}
 	now := j.clock.Now()
 	targets, candidates := j.candidates(now)
 	if len(targets) == 0 {
 		return nil, nil, bluebelldoor.Refuse(bluebelldoor.NoTarget, "no target of the service may take work").WithRetryAfter(comeBack)
 	}
 	demand := j.demand()
-	choice, reservation, refusal := j.reserve(candidates, demand, now)
-	if refusal != nil {
-		return nil, nil, refusal
-	}
-	t := targets[choice.Index]
-	j.log.Info("target chosen", "id", j.request.ID, "target", t.ID, "dataCentre", t.DataCentre, "of", len(targets),
-		"cost", round(choice.Cost), "requests", choice.Requests, "tokens", choice.Tokens, "prefill", choice.Prefill,
-		"failures", round(choice.Failures), "coldMs", max(0, t.ColdUntil-now).Milliseconds(), "full", choice.Full)
-	return t, reservation, nil
-}
-
-func (j *job) reserve(candidates []placer.Candidate, demand placer.Demand, now time.Duration) (placer.Choice, *placer.Reservation, *bluebelldoor.Refusal) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	choice := j.ledger.Pick(candidates, demand, now, rand.Float64)
 	if choice.Index < 0 {
-		return choice, nil, bluebelldoor.Refuse(bluebelldoor.ColdTargets, "all targets are cold and have what they bear").WithRetryAfter(comeBack)
-	}
-	if refusal := j.crowded(choice); refusal != nil {
-		return choice, nil, refusal
+		return nil, nil, bluebelldoor.Refuse(bluebelldoor.ColdTargets, "all targets are cold and have what they bear").WithRetryAfter(comeBack)
 	}
-	chosen := candidates[choice.Index]
-	if chosen.Cold {
-		j.ledger.SentCold(chosen.Instance.ID, now)
+	t := targets[choice.Index]
+	reservation := j.start(t, candidates[choice.Index].Cold, demand, now)
+	j.chosen(t, choice, len(targets), now)
+	return t, reservation, nil
+}
+
+// start notes the request on its target. It needs the ledger's lock.
+func (j *job) start(t *registrar.Target, cold bool, demand placer.Demand, now time.Duration) *placer.Reservation {
+	if cold {
+		j.ledger.SentCold(t.ID, now)
 	}
-	return choice, j.ledger.Start(chosen.Instance.ID, demand.Tokens, j.request.PromptTokens), nil
+	return j.ledger.Start(t.ID, demand.Tokens, j.request.PromptTokens, now)
+}
+
+// chosen logs a choice. The log does not block.
+func (j *job) chosen(t *registrar.Target, choice placer.Choice, of int, now time.Duration) {
+	j.log.Info("target chosen", "id", j.request.ID, "target", t.ID, "dataCentre", t.DataCentre, "of", of,
+		"cost", round(choice.Cost), "requests", choice.Requests, "tokens", choice.Tokens, "held", choice.Held, "prefill", choice.Prefill,
+		"failures", round(choice.Failures), "coldMs", max(0, t.ColdUntil-now).Milliseconds(), "full", choice.Full,
+		"waitedMs", (now - j.arrived).Milliseconds(), "waiting", j.line.Len())
 }
 
 // round keeps three decimals, for log lines.
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -67,6 +67,10 @@
 	mu      sync.Mutex
 	ledger  *placer.Ledger
 	streams map[*stream]struct{}
+	// line holds the generations for which no engine has room yet; looking
+	// tells that a goroutine looks for room.
+	line    placer.Line[*waiter]
+	looking bool
 }
 
 // New returns a relayer.
@@ -86,8 +90,19 @@
 // Reload takes changed bounds into force.
 func (r *Relayer) Reload(settings Settings) { r.settings.Store(&settings) }
 
-// Leave makes the VM refuse new streams, which would outlast it.
-func (r *Relayer) Leave() { r.leaving.Store(true) }
+// Leave makes the VM refuse new streams, which would outlast it, and those that
+// wait for an engine.
+func (r *Relayer) Leave() {
+	r.leaving.Store(true)
+	r.admitWaiting()
+}
+
+// Waiting returns how many generations wait for an engine.
+func (r *Relayer) Waiting() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.line.Len()
+}
 
 // Loads returns what this VM has on the targets, for its peers.
 func (r *Relayer) Loads() []bluebelldoor.TargetLoad {
@@ -196,6 +211,10 @@
 			j.refuse(refusal)
 			return
 		}
+		if target == nil {
+			j.giveUp()
+			return
+		}
 		if done := j.try(target, reservation); done {
 			return
 		}
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -71,7 +71,7 @@
 		return
 	}
 	j.mu.Lock()
-	reservation.Read()
+	reservation.Read(j.clock.Now())
 	j.mu.Unlock()
 }
 
@@ -83,7 +83,7 @@
 	made := s.made * j.service.Engine.TokensPerEvent
 	expected := max(j.expected(), int(float64(made)*(1+restPart)))
 	j.mu.Lock()
-	reservation.Need(j.request.PromptTokens + expected)
+	reservation.Need(j.request.PromptTokens+expected, j.request.PromptTokens+made)
 	j.mu.Unlock()
 }
 
