Measure moves and the relayed core in the rater

Ruled out: a model of its own; the rater's engines, workloads and tables serve both cores behind one interface (decider), and the admitter's rows are unchanged.

Engines are taken away after a notice, generations copied one after the other.

Who passes whom in the line is one function now (Line.Send, TestLineSend) for both.

--- a/cmd/rater/main.go
+++ b/cmd/rater/main.go
@@ -29,7 +29,7 @@
 		for _, load := range strings.Split(*loads, ",") {
 			for _, fault := range strings.Split(*faults, ",") {
 				fmt.Printf("\n%s, load %s\n\n%s\n", fault, load, rater.Head(w.Kinds))
-				for _, policy := range []rater.Policy{rater.Own, rater.LeastOutstanding, rater.RoundRobin} {
+				for _, policy := range policiesOf(fault) {
 					t := measure(w, capacity, policy, rater.Fault(fault), number(load), strings.Split(*seeds, ","), *duration)
 					fmt.Println(t.Row(string(policy), w.Kinds))
 					if *cached {
@@ -67,3 +67,13 @@
 	}
 	return out
 }
+
+// policiesOf returns what is compared: moves make a difference only where
+// engines are reclaimed.
+func policiesOf(fault string) []rater.Policy {
+	policies := []rater.Policy{rater.Own, rater.Relay, rater.LeastOutstanding, rater.RoundRobin}
+	if fault == string(rater.Reclaims) {
+		policies = append(policies, rater.RelayStays)
+	}
+	return policies
+}
--- a/request/placer/line.go
+++ b/request/placer/line.go
@@ -16,6 +16,8 @@
 	InTime time.Duration
 	// Latest is until when it must be sent to be of any use.
 	Latest time.Duration
+	// Long tells that it will hold its memory for seconds.
+	Long bool
 }
 
 func (w *Waiting[T]) late(now time.Duration) bool { return now > w.InTime }
@@ -67,6 +69,26 @@
 	return all
 }
 
+// Send offers those that wait to place, the first in front, and takes out those
+// that it has placed. Where no target has memory for a long one, short ones pass
+// it, which make room again soon; where none can read a prompt soon, all wait.
+func (l *Line[T]) Send(now time.Duration, place func(T) Room) {
+	blocked := false
+	for _, w := range l.Order(now) {
+		if blocked && w.Long {
+			continue
+		}
+		switch place(w.Value) {
+		case HasRoom:
+			l.Remove(w)
+		case NoMemory:
+			blocked = blocked || w.Long
+		case NoReading:
+			return
+		}
+	}
+}
+
 // Order returns those that wait, the one to be served first in front.
 func (l *Line[T]) Order(now time.Duration) []*Waiting[T] {
 	order := slices.Clone(l.waiting)
--- a/request/placer/line_test.go
+++ b/request/placer/line_test.go
@@ -76,6 +76,55 @@
 	assert.Equal(t, line.Len(), 0)
 }
 
+// TestLineSend holds who passes whom where targets lack memory or time.
+func TestLineSend(t *testing.T) {
+	const long = true
+	type one struct {
+		name string
+		long bool
+		room placer.Room
+	}
+	for name, c := range map[string]struct {
+		waiting []one
+		asked   []string
+		kept    []string
+	}{
+		"room for all": {[]one{{"a", long, placer.HasRoom}, {"b", !long, placer.HasRoom}}, []string{"a", "b"}, nil},
+		"short ones pass a long one": {
+			[]one{{"a", long, placer.NoMemory}, {"b", !long, placer.HasRoom}, {"c", long, placer.HasRoom}},
+			[]string{"a", "b"},
+			[]string{"a", "c"},
+		},
+		"long ones pass a short one": {
+			[]one{{"a", !long, placer.NoMemory}, {"b", long, placer.HasRoom}},
+			[]string{"a", "b"},
+			[]string{"a"},
+		},
+		"none can be read": {
+			[]one{{"a", long, placer.HasRoom}, {"b", !long, placer.NoReading}, {"c", !long, placer.HasRoom}},
+			[]string{"a", "b"},
+			[]string{"b", "c"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var line placer.Line[one]
+			for i, o := range c.waiting {
+				line.Add(&placer.Waiting[one]{Value: o, Arrived: time.Duration(i), InTime: time.Hour, Latest: time.Hour, Long: o.long})
+			}
+			var asked, kept []string
+			line.Send(0, func(o one) placer.Room {
+				asked = append(asked, o.name)
+				return o.room
+			})
+			for _, w := range line.Drain() {
+				kept = append(kept, w.Value.name)
+			}
+			assert.DeepEqual(t, asked, c.asked)
+			assert.DeepEqual(t, kept, c.kept)
+		})
+	}
+}
+
 // FuzzLine checks under any history that nobody is lost or doubled.
 func FuzzLine(f *testing.F) {
 	f.Add(uint64(1), 40)
--- a/request/relayer/crowd.go
+++ b/request/relayer/crowd.go
@@ -78,6 +78,7 @@
 		Value:    &waiter{job: j, placed: make(chan placement, 1)},
 		Priority: j.priority,
 		Arrived:  j.firstArrived(),
+		Long:     j.long(),
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -166,21 +167,7 @@
 	for _, w := range r.line.Overdue(now) {
 		w.Value.refuse(bluebelldoor.Refuse(bluebelldoor.EnginesCrowded, "no engine had room in time").WithRetryAfter(w.Value.job.comeLater()))
 	}
-	longs := true
-	for _, w := range r.line.Order(now) {
-		long := w.Value.job.long()
-		if long && !longs {
-			continue
-		}
-		switch w.Value.place(now) {
-		case placer.HasRoom:
-			r.line.Remove(w)
-		case placer.NoMemory:
-			longs = longs && !long
-		case placer.NoReading:
-			return
-		}
-	}
+	r.line.Send(now, func(w *waiter) placer.Room { return w.place(now) })
 }
 
 func (w *waiter) refuse(refusal *bluebelldoor.Refusal) { w.placed <- placement{refusal: refusal} }
--- a/standin/batcher/batcher.go
+++ b/standin/batcher/batcher.go
@@ -56,6 +56,9 @@
 	PrefixTokens int
 	// Priority orders admission and spares from preemption; low goes first.
 	Priority int
+	// Copied tells that its memory has been copied here from another engine, so
+	// that nothing is read when it starts.
+	Copied bool
 
 	produced    int
 	preemptions int
@@ -166,16 +169,26 @@
 
 // Remove drops the sequence with this ID and reports whether it was there.
 func (b *Batcher) Remove(id string) bool {
+	s := b.Take(id)
+	if s == nil {
+		return false
+	}
+	b.wasted += s.produced
+	return true
+}
+
+// Take returns the sequence with this ID, which goes on elsewhere, and drops it
+// here; nil if it is not there.
+func (b *Batcher) Take(id string) *Sequence {
 	for _, queue := range []*[]*Sequence{&b.running, &b.waiting} {
 		for i, s := range *queue {
 			if s.ID == id {
-				b.wasted += s.produced
 				*queue = append((*queue)[:i], (*queue)[i+1:]...)
-				return true
+				return s
 			}
 		}
 	}
-	return false
+	return nil
 }
 
 // Chill makes the engine cold again without warning. The load that it already
@@ -238,7 +251,10 @@
 			break
 		}
 		used += s.memory() + 1
-		read += s.memory() - b.cached(s)
+		if !s.Copied {
+			read += s.memory() - b.cached(s)
+		}
+		s.Copied = false
 		b.running = append(b.running, s)
 		b.waiting = b.waiting[1:]
 	}
--- a/standin/rater/engine.go
+++ b/standin/rater/engine.go
@@ -13,6 +13,8 @@
 	name    string
 	batcher *batcher.Batcher
 	lost    bool
+	// leaving tells that the engine has been given notice.
+	leaving bool
 	reports []bluebelldoor.LoadReport
 }
 
@@ -20,13 +22,27 @@
 func (b *bench) addEngine(i int) {
 	config := b.run.Workload.Engine
 	e := &engineState{name: engineName(i), batcher: batcher.New(config)}
+	e.warmUp(config)
+	b.engines = append(b.engines, e)
+	b.at(time.Duration(i)*time.Millisecond, func() { b.step(e) })
+	b.at(0, func() { b.report(e) })
+}
+
+// warmUp lets an engine end what makes it warm.
+func (e *engineState) warmUp(config batcher.Config) {
 	for range config.WarmAfter {
 		e.batcher.Add(&batcher.Sequence{ID: "warm up", Prompt: 1, Length: 1})
 	}
 	e.batcher.Step()
-	b.engines = append(b.engines, e)
-	b.at(time.Duration(i)*time.Millisecond, func() { b.step(e) })
-	b.at(0, func() { b.report(e) })
+}
+
+func (b *bench) dataCentre(e *engineState) string {
+	for _, t := range b.document.Targets() {
+		if t.Name() == e.name {
+			return t.DataCentre()
+		}
+	}
+	return ""
 }
 
 func (b *bench) engine(name string) *engineState {
@@ -43,14 +59,15 @@
 	if e.lost {
 		return
 	}
-	took, produced := e.batcher.Step()
+	inside := e.batcher
+	took, produced := inside.Step()
 	if took == 0 {
 		b.at(b.now+idleStep, func() { b.step(e) })
 		return
 	}
 	b.at(b.now+took, func() {
 		for _, s := range produced {
-			if j := b.jobs[s.ID]; j != nil {
+			if j := b.jobs[s.ID]; j != nil && j.sequence == s {
 				b.token(j)
 			}
 		}
@@ -62,7 +79,7 @@
 	j.result.token(b.now-j.last, b.now-j.arrived)
 	gap := b.now - j.last
 	j.last = b.now
-	j.vm.admitter.Produced(j.request.ID, j.result.tokens, gap)
+	j.vm.produced(j, gap)
 	if !j.sequence.Done() {
 		return
 	}
@@ -70,7 +87,7 @@
 	j.result.whole = true
 	j.result.preemptions = j.sequence.Preemptions()
 	b.table.add(j, b.now)
-	b.decide(j.vm.admitter.Done(j.request.ID, b.clock()))
+	b.decide(j.vm.done(j))
 }
 
 // expire gives a request up at its deadline.
@@ -84,17 +101,20 @@
 		j.engine.batcher.Remove(id)
 	}
 	b.table.add(j, b.now)
-	b.decide(j.vm.admitter.Abandon(id, b.clock()))
+	b.decide(j.vm.abandon(j))
 }
 
 // fail ends a request on a lost engine; one that showed nothing is run anew.
 func (b *bench) fail(j *job) {
 	delete(b.jobs, j.request.ID)
-	decisions := j.vm.admitter.Failed(j.request.ID, b.clock())
+	decisions := j.vm.failed(j)
 	if j.result.tokens == 0 && j.tries <= retryGiven {
 		j.engine = nil
 		b.submit(j, 0)
 	} else {
+		if j.result.counted {
+			b.table.cut++
+		}
 		b.table.add(j, b.now)
 	}
 	b.decide(decisions)
@@ -115,6 +135,7 @@
 	}
 	e.reports = append(e.reports, bluebelldoor.LoadReport{
 		Incarnation:  e.name,
+		Leaving:      e.leaving,
 		Warm:         e.batcher.Warm(),
 		Running:      e.batcher.Running(),
 		Waiting:      e.batcher.Waiting(),
--- a/standin/rater/rater.go
+++ b/standin/rater/rater.go
@@ -8,9 +8,7 @@
 
 	"bluebelldoor"
 	"bluebelldoor/process/ranker"
-	"bluebelldoor/process/slotter"
 	"bluebelldoor/request/admitter"
-	"bluebelldoor/request/router"
 	"bluebelldoor/standin/batcher"
 )
 
@@ -37,14 +35,19 @@
 	EngineLost  Fault = "engine lost"
 	EngineCold  Fault = "engine cold"
 	DataCentres Fault = "data centre out"
+	// Reclaims takes engines away all the while, each with a notice.
+	Reclaims Fault = "engines reclaimed"
 )
 
 // Policy is what decides.
 type Policy string
 
-// The policies: the system's own, and two baselines.
+// The policies: that of the system's own interface, that of requests which are
+// passed on as they are, the same without moves, and two baselines.
 const (
 	Own              Policy = "bluebelldoor"
+	Relay            Policy = "relay"
+	RelayStays       Policy = "relay, no moves"
 	RoundRobin       Policy = "round robin"
 	LeastOutstanding Policy = "least outstanding"
 )
@@ -90,6 +93,7 @@
 type job struct {
 	kind     Kind
 	length   int
+	hint     int // what the caller expects
 	arrived  time.Duration
 	request  *admitter.Request
 	sequence *batcher.Sequence
@@ -97,19 +101,24 @@
 	engine   *engineState
 	last     time.Duration
 	tries    int
-	result   result
+	number   int
+	// stuck tells that no engine has room for a copy.
+	stuck  bool
+	result result
 }
 
 type vm struct {
-	name     string
-	near     string
-	admitter *admitter.Admitter
-	loads    map[string]*router.Load
+	name string
+	near string
+	decider
 }
 
 type bench struct {
-	run      Run
-	random   *rand.Rand
+	run    Run
+	random *rand.Rand
+	// hints draws what only some policies ask for, so that all see the same
+	// arrivals.
+	hints    *rand.Rand
 	start    time.Time
 	now      time.Duration
 	queue    events
@@ -127,6 +136,7 @@
 	b := &bench{
 		run:      r,
 		random:   rand.New(rand.NewPCG(r.Seed, 1)),
+		hints:    rand.New(rand.NewPCG(r.Seed, 2)),
 		start:    time.Unix(1_000_000, 0),
 		jobs:     map[string]*job{},
 		document: r.Workload.document(""),
@@ -164,23 +174,12 @@
 func (b *bench) clock() time.Time { return b.start.Add(b.now) }
 
 func (b *bench) addVM(i int) {
-	var chooser router.Chooser = router.Router{}
-	var options []admitter.Option
+	v := &vm{name: "vm-" + strconv.Itoa(i), near: dataCentres[i%len(dataCentres)]}
 	switch b.run.Policy {
-	case Own:
-	case RoundRobin:
-		chooser, options = &router.RoundRobin{}, append(options, admitter.WithNaive())
-	case LeastOutstanding:
-		chooser, options = router.LeastOutstanding{}, append(options, admitter.WithNaive())
-	}
-	v := &vm{
-		name:     "vm-" + strconv.Itoa(i),
-		near:     dataCentres[i%len(dataCentres)],
-		admitter: admitter.New(chooser, b.random.Uint64, options...),
-		loads:    map[string]*router.Load{},
-	}
-	for _, e := range b.engines {
-		v.loads[e.name] = router.NewLoad()
+	case Relay, RelayStays:
+		v.decider = newRelaying(b, v)
+	case Own, RoundRobin, LeastOutstanding:
+		v.decider = newAdmitting(b, v)
 	}
 	b.vms = append(b.vms, v)
 	b.at(time.Duration(i)*reportEvery/time.Duration(b.run.Workload.VMs), func() { b.refresh(v) })
@@ -200,6 +199,8 @@
 	case DataCentres:
 		b.at(third, func() { b.document = b.run.Workload.document(dataCentres[0]) })
 		b.at(2*third, func() { b.document = b.run.Workload.document("") })
+	case Reclaims:
+		b.at(reclaimEvery, b.reclaim)
 	}
 }
 
@@ -208,6 +209,7 @@
 	kind, length := b.run.Workload.draw(b.random)
 	account := b.random.IntN(b.run.Workload.Accounts)
 	j := &job{kind: kind, length: length, arrived: b.now, vm: b.vms[b.random.IntN(len(b.vms))]}
+	j.hint = b.hint(length, kind.Most)
 	j.result.counted = b.now > warmUp && b.now+kind.Within < b.run.Duration
 	b.submit(j, account)
 	rate := b.run.Load * b.run.Capacity
@@ -218,6 +220,7 @@
 	b.ids++
 	id := "job-" + strconv.Itoa(b.ids)
 	j.tries++
+	j.number = b.ids
 	j.request = &admitter.Request{
 		ID: id,
 		Account: bluebelldoor.NewClientAccount(bluebelldoor.AccountSpec{
@@ -239,20 +242,20 @@
 	j.last = b.now
 	b.jobs[id] = j
 	b.at(j.arrived+j.kind.Within, func() { b.expire(id) })
-	b.decide(j.vm.admitter.Arrive(j.request, b.clock()))
+	b.decide(j.vm.arrive(j))
 }
 
 // decide carries decisions out.
-func (b *bench) decide(decisions []admitter.Decision) {
+func (b *bench) decide(decisions []decision) {
 	for _, d := range decisions {
-		j := b.jobs[d.Request.ID]
-		if d.Refusal != nil {
-			delete(b.jobs, d.Request.ID)
+		j := d.job
+		if d.refused {
+			delete(b.jobs, j.request.ID)
 			j.result.refused = true
 			b.table.add(j, b.now)
 			continue
 		}
-		j.engine = b.engine(d.Target.Name())
+		j.engine = d.engine
 		if j.engine.lost {
 			b.fail(j)
 			continue
@@ -261,24 +264,9 @@
 	}
 }
 
-// refresh gives a VM a new table from the lagging reports.
+// refresh gives a VM the newest of what it is told, which lags.
 func (b *bench) refresh(v *vm) {
-	var candidates []*router.Candidate
-	for _, t := range b.document.Targets() {
-		e := b.engine(t.Name())
-		c := &router.Candidate{Target: t, Load: v.loads[e.name], Reported: true, Report: e.reports[0], Near: t.DataCentre() == v.near}
-		c.Warm = c.Report.Warm
-		if !b.document.DataCentre(t.DataCentre()).InService() {
-			c.Closed = "out of service"
-		}
-		for i := range t.ColdSlots() {
-			if ranker.First(t.Name()+"/"+strconv.Itoa(i), b.names()) == v.name {
-				c.Slots = append(c.Slots, slotter.Slot{Drained: true})
-			}
-		}
-		candidates = append(candidates, c)
-	}
-	v.admitter.SetTable(router.NewTable(v.name, len(b.vms), candidates), b.document)
+	v.refresh()
 	b.at(b.now+reportEvery, func() { b.refresh(v) })
 }
 
@@ -291,6 +279,6 @@
 }
 
 func (b *bench) tick(v *vm) {
-	b.decide(v.admitter.Tick(b.clock()))
+	b.decide(v.tick())
 	b.at(b.now+tickEvery, func() { b.tick(v) })
 }
