Let one of two VMs that serve tell the other

Of two VMs that serve each told the other every 250 ms, and each answer says what the other's message says; a placement told all besides, and the next heartbeat came regardless.

Ruled out: the size of messages (they carry what changed), the store reader (one reader), logs.

--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -30,6 +31,10 @@
 	// reviveRounds is how many rounds pass between two tries to reach seeds
 	// that are not known and members that have fallen silent.
 	reviveRounds = 4
+	// heardLately is the time after a peer's own message in which it is not told
+	// in a heartbeat: the answer to it has said the same. It is a little less than
+	// a round, for rounds are not exact.
+	heardLately = 200 * time.Millisecond
 	// exchangeTimeout bounds one exchange; a peer that is cut off says nothing.
 	exchangeTimeout = 500 * time.Millisecond
 	// fanOut is how many peers are told in a round; up to that many VMs that
@@ -73,6 +78,8 @@
 	table   *Table
 	pending map[string]bool
 	noted   map[string]bool
+	// heard is when a peer last told this VM by itself, of those that did of late.
+	heard map[string]time.Duration
 	// changed is the round in which the members that are alive, or those that
 	// serve, last changed.
 	changed uint64
@@ -95,6 +102,7 @@
 		table:   NewTable(self),
 		pending: map[string]bool{},
 		noted:   map[string]bool{},
+		heard:   map[string]time.Duration{},
 		now:     make(chan struct{}, 1),
 	}
 	g.publish()
@@ -127,8 +135,8 @@
 func (g *Gossiper) run(ctx context.Context) {
 	ticker := time.NewTicker(round)
 	defer ticker.Stop()
-	for {
-		g.beat(ctx)
+	for hurried := true; ; {
+		g.beat(ctx, hurried)
 		select {
 		case <-ctx.Done():
 			return
@@ -138,7 +146,10 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			hurried = false
 		case <-g.now:
+			hurried = true
+			ticker.Reset(round)
 		}
 	}
 }
@@ -150,12 +161,13 @@
 	members  []bluebelldoor.MemberState
 }
 
-func (g *Gossiper) beat(ctx context.Context) {
+// beat tells peers of this VM; hurried tells that it has news.
+func (g *Gossiper) beat(ctx context.Context, hurried bool) {
 	g.mu.Lock()
 	g.table.Beat(g.hooks.Describe)
 	g.publish()
 	var to []recipient
-	for _, r := range g.recipients() {
+	for _, r := range g.recipients(hurried) {
 		if !g.pending[r.address] {
 			g.pending[r.address] = true
 			to = append(to, r)
@@ -168,7 +180,7 @@
 }
 
 // recipients returns the peers of this round. A mutex is held.
-func (g *Gossiper) recipients() []recipient {
+func (g *Gossiper) recipients(hurried bool) []recipient {
 	beat, self, s := g.table.Self().Heartbeat, g.table.Self(), g.state.Load()
 	var out []recipient
 	add := func(m bluebelldoor.MemberState, members []bluebelldoor.MemberState) {
@@ -179,10 +191,14 @@
 	switch {
 	case s.isHub:
 		members := []bluebelldoor.MemberState{self}
-		if beat%fullRounds == 0 || beat-g.changed < 2 {
+		full := beat%fullRounds == 0 || beat-g.changed < 2
+		if full {
 			members = g.all()
 		}
 		hubs := slices.Clone(s.hubs)
+		if !hurried && !full {
+			hubs = g.notHeard(hubs)
+		}
 		rand.Shuffle(len(hubs), func(i, j int) { hubs[i], hubs[j] = hubs[j], hubs[i] })
 		for _, hub := range hubs[:min(len(hubs), fanOut)] {
 			add(hub, members)
@@ -198,6 +214,17 @@
 	return out
 }
 
+// notHeard returns those that have not told this VM of late. Of two VMs that
+// serve one tells the other so, and has its answer. A mutex is held.
+func (g *Gossiper) notHeard(hubs []bluebelldoor.MemberState) []bluebelldoor.MemberState {
+	now := g.clock.Now()
+	maps.DeleteFunc(g.heard, func(_ string, at time.Duration) bool { return now-at >= heardLately })
+	return slices.DeleteFunc(hubs, func(m bluebelldoor.MemberState) bool {
+		_, lately := g.heard[m.Name]
+		return lately
+	})
+}
+
 // nearHub returns a VM that serves, of the own data centre first; n chooses
 // another each time.
 func (g *Gossiper) nearHub(hubs []bluebelldoor.MemberState, n uint64) *bluebelldoor.MemberState {
@@ -302,6 +329,7 @@
 func (g *Gossiper) Exchange(ctx context.Context, in *bluebelldoor.ExchangeMessage) *bluebelldoor.ExchangeMessage {
 	g.mu.Lock()
 	known := g.table.members[in.From] != nil
+	g.heard[in.From] = g.clock.Now()
 	g.mu.Unlock()
 	g.merge(in)
 	g.hooks.Receive(ctx, in.Delta, 0, false)
--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -27,6 +27,11 @@
 	vms   map[string]*gossiper.Gossiper
 	cut   map[string]bool
 	bytes map[string]int
+	// exchanges counts those between two VMs, either way, and last is when the
+	// newest was; longest is the longest time without one.
+	exchanges map[[2]string]int
+	last      map[[2]string]time.Time
+	longest   time.Duration
 }
 
 var errCut = errors.New("cut off")
@@ -45,12 +50,24 @@
 		return nil, errCut
 	}
 	time.Sleep(time.Millisecond)
+	f.exchanged(address)
 	out := to.Exchange(ctx, in)
 	f.count(f.name, in)
 	f.count(address, out)
 	return out, nil
 }
 
+func (f from) exchanged(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	pair := [2]string{min(f.name, address), max(f.name, address)}
+	f.exchanges[pair]++
+	if at, before := f.last[pair]; before {
+		f.longest = max(f.longest, time.Since(at))
+	}
+	f.last[pair] = time.Now()
+}
+
 func (f from) count(name string, message *bluebelldoor.ExchangeMessage) {
 	data, err := cbor.Marshal(message)
 	if err != nil {
@@ -94,7 +111,10 @@
 }
 
 func newNetwork() *network {
-	return &network{vms: map[string]*gossiper.Gossiper{}, cut: map[string]bool{}, bytes: map[string]int{}}
+	return &network{
+		vms: map[string]*gossiper.Gossiper{}, cut: map[string]bool{}, bytes: map[string]int{},
+		exchanges: map[[2]string]int{}, last: map[[2]string]time.Time{},
+	}
 }
 
 func (n *network) fleet(specs []spec, loads []bluebelldoor.TargetLoad) []func() {
@@ -341,3 +361,33 @@
 		})
 	}
 }
+
+// TestOneTells lets one of two VMs that serve tell the other in a heartbeat: the
+// answer says what the other would. They still hear of each other twice a second.
+func TestOneTells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		var stops []func()
+		for i, s := range uniform(6, 3) {
+			stops = append(stops, n.begin(i, s, []string{name(0)}, nil))
+			// VMs do not start in the same moment.
+			time.Sleep(17 * time.Millisecond)
+		}
+		defer stopAll(stops)
+		time.Sleep(10 * time.Second)
+		n.mu.Lock()
+		n.longest = 0
+		clear(n.exchanges)
+		n.mu.Unlock()
+		const seconds = 20
+		time.Sleep(seconds * time.Second)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		assert.Equal(t, len(n.exchanges), 15)
+		for pair, count := range n.exchanges {
+			// Four rounds a second; in one of them both tell of all members.
+			assert.Check(t, count <= seconds*6, "%v: %d exchanges in %d s", pair, count, seconds)
+		}
+		assert.Check(t, n.longest <= 500*time.Millisecond, "%s without an exchange", n.longest)
+	})
+}
