Keep a line for each service, and look for room before refusing

Cause, found on reading the change again: one line for all services let the engines of one hold up the generations of another; a generation with little time (60 tokens in 1.1 s) was refused although an engine was idle, for its latest moment was taken from the slowest pace and checked first; a VM that leaves refused those that are not streams; the refusal did not say what was lacking.

Ruled out: that the users' sites show it (each has one model, times of 6 and 39 s).

TestRelayCrowded holds the first two; each fails without.

--- a/process/runner/relay_test.go
+++ b/process/runner/relay_test.go
@@ -41,6 +41,7 @@
 	toUnsafe   = "/unsafe/"
 	toStream   = "/stream/"
 	toResume   = "/resume/"
+	toSecond   = "/second/"
 	testHost   = "api.example"
 	testKey    = "key-1"
 	keyGrace   = 1200 * time.Millisecond
@@ -58,6 +59,13 @@
 	return r
 }
 
+func engineService(name string) map[string]any {
+	return map[string]any{
+		"name": name, "health_path": "/health", "max_conns": 50, "cold_s": 1, "cold_per_s": 25,
+		"engine": map[string]any{"slots": 24, "kv_capacity": 34000, "kv_token_bytes": 1000, "link_mbps": 1000, "moves": true, "stride": 1},
+	}
+}
+
 // configuration returns a version that holds the given API keys.
 func configuration(version int, keys ...string) map[string]any {
 	return map[string]any{
@@ -67,14 +75,13 @@
 			route(toUnsafe, "unsafe", "app", map[string]any{"max_attempts": 1}),
 			route(toStream, "streaming", "engine", map[string]any{"max_attempts": 1, "affinity": true, "timeout_ms": 20000, "slo_ms": 10000}),
 			route(toResume, "streaming", "engine", map[string]any{"affinity": true, "stream_resume": true, "timeout_ms": 20000}),
+			route(toSecond, "streaming", "second", map[string]any{"max_attempts": 1, "affinity": true, "timeout_ms": 20000, "slo_ms": 10000}),
 			route("/public/", "safe", "app", map[string]any{"public": true}),
 		},
 		"services": []any{
 			map[string]any{"name": "app", "health_path": "/health", "max_conns": 50},
-			map[string]any{
-				"name": "engine", "health_path": "/health", "max_conns": 50, "cold_s": 1, "cold_per_s": 25,
-				"engine": map[string]any{"slots": 24, "kv_capacity": 34000, "kv_token_bytes": 1000, "link_mbps": 1000, "moves": true, "stride": 1},
-			},
+			engineService("engine"),
+			engineService("second"),
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{map[string]any{"name": "account-1", "api_keys": keys}},
--- a/process/runner/stops_test.go
+++ b/process/runner/stops_test.go
@@ -110,12 +110,15 @@
 }
 
 // TestRelayCrowded lets a long generation wait until an engine has room, and
-// lets a short one pass it. One that can't be served in its time is refused at
-// once and told when to come back; it has not run.
+// lets a short one pass it, and those of another service. One that can't be
+// served in its time is refused at once and told when to come back; it has not
+// run. Where an engine has room, one with little time is served.
 func TestRelayCrowded(t *testing.T) {
 	f := startRelays(t, 1)
 	engine := f.yard.Add("engine-1", "engine", "dc-0")
 	defer engine.Stop()
+	second := f.yard.Add("second-1", "second", "dc-0")
+	defer second.Stop()
 	app := f.yard.Add("app-1", "app", "dc-0")
 	defer app.Stop()
 	f.settle(t)
@@ -127,6 +130,9 @@
 	await(t, "one waits", func() bool { return vm.Relay.Status().Waiting == 1 })
 	short := map[string]string{"Token-Count": "500,3", "Length-Hint": "3", "Deadline-Ms": "20000"}
 	assert.Equal(t, vm.ask(t, "POST", toStream, "short", short).status, 200)
+	other := make(chan answer, 1)
+	go func() { other <- vm.ask(t, "POST", toSecond, "second", long) }()
+	await(t, "the other service serves", func() bool { return len(f.yard.Runs("second")) == 1 })
 	assert.Equal(t, len(f.yard.Runs("waits")), 0)
 	got := vm.ask(t, "POST", toStream, "noTime", map[string]string{"Token-Count": "4000,300", "Length-Hint": "300", "Deadline-Ms": "1000"})
 	assert.Equal(t, got.status, 503)
@@ -139,7 +145,9 @@
 	for range cap(full) {
 		assert.Equal(t, (<-full).status, 200)
 	}
+	assert.Equal(t, (<-other).status, 200)
 	served := <-waited
+	assert.Equal(t, vm.ask(t, "POST", toStream, "hasty", map[string]string{"Token-Count": "400,60", "Length-Hint": "60", "Deadline-Ms": "1100"}).status, 200)
 	assert.Equal(t, served.status, 200)
 	assert.Equal(t, len(f.yard.Runs("waits")), 1)
 	assert.Equal(t, vm.Relay.Status().Waiting, 0)
--- a/request/placer/line.go
+++ b/request/placer/line.go
@@ -62,13 +62,6 @@
 	return over
 }
 
-// Drain takes all out.
-func (l *Line[T]) Drain() []*Waiting[T] {
-	all := l.waiting
-	l.waiting = nil
-	return all
-}
-
 // Send offers those that wait to place, the first in front, and takes out those
 // that it has placed. Where no target has memory for a long one, short ones pass
 // it, which make room again soon; where none can read a prompt soon, all wait.
--- a/request/placer/line_test.go
+++ b/request/placer/line_test.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// TestLineLeave takes out those whose callers left, those that can't be served
-// any more, and all of a VM that leaves.
+// TestLineLeave takes out those whose callers left and those that can't be served
+// any more.
 func TestLineLeave(t *testing.T) {
 	var line placer.Line[string]
 	gone, over, kept := waiting("gone", 0, 1, 9), waiting("over", 0, 1, 9), waiting("kept", 0, 1, 9)
@@ -72,8 +72,8 @@
 	assert.Equal(t, len(line.Overdue(2*time.Second)), 0)
 	assert.DeepEqual(t, names(line.Overdue(2*time.Second+1)), []string{"over"})
 	assert.Assert(t, !line.Remove(over))
-	assert.DeepEqual(t, names(line.Drain()), []string{"kept"})
-	assert.Equal(t, line.Len(), 0)
+	assert.DeepEqual(t, names(line.Order(0)), []string{"kept"})
+	assert.Equal(t, line.Len(), 1)
 }
 
 // TestLineSend holds who passes whom where targets lack memory or time.
@@ -116,7 +116,7 @@
 				asked = append(asked, o.name)
 				return o.room
 			})
-			for _, w := range line.Drain() {
+			for _, w := range line.Order(0) {
 				kept = append(kept, w.Value.name)
 			}
 			assert.DeepEqual(t, asked, c.asked)
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -78,7 +78,7 @@
 		"prompt", j.request.PromptTokens, "expected", j.expected(),
 		"cost", round(choice.Cost), "requests", choice.Requests, "tokens", choice.Tokens, "held", choice.Held, "prefill", choice.Prefill,
 		"failures", round(choice.Failures), "coldMs", max(0, t.ColdUntil-now).Milliseconds(), "full", choice.Full,
-		"waitedMs", (now - j.arrived).Milliseconds(), "waiting", j.line.Len())
+		"waitedMs", (now - j.arrived).Milliseconds(), "waiting", j.waiting())
 }
 
 // round keeps three decimals, for log lines.
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -67,9 +67,9 @@
 	mu      sync.Mutex
 	ledger  *placer.Ledger
 	streams map[*stream]struct{}
-	// line holds the generations for which no engine has room yet; looking
-	// tells that a goroutine looks for room.
-	line    placer.Line[*waiter]
+	// lines hold, by service, the generations for which no engine has room yet;
+	// looking tells that a goroutine looks for room.
+	lines   map[string]*placer.Line[*waiter]
 	looking bool
 }
 
@@ -82,6 +82,7 @@
 		log:     log,
 		ledger:  placer.NewLedger(),
 		streams: map[*stream]struct{}{},
+		lines:   map[string]*placer.Line[*waiter]{},
 	}
 	r.settings.Store(&settings)
 	return r
@@ -93,15 +94,16 @@
 // Leave makes the VM refuse new streams, which would outlast it, and those that
 // wait for an engine.
 func (r *Relayer) Leave() {
-	r.leaving.Store(true)
-	r.admitWaiting()
+	if !r.leaving.Swap(true) {
+		r.admitWaiting()
+	}
 }
 
 // Waiting returns how many generations wait for an engine.
 func (r *Relayer) Waiting() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.line.Len()
+	return r.waiting()
 }
 
 // Loads returns what this VM has on the targets, for its peers.
--- a/request/relayer/crowd.go
+++ b/request/relayer/wait.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -42,6 +43,8 @@
 type waiter struct {
 	job    *job
 	placed chan placement
+	// lacks is what the targets lacked when it was last offered to them.
+	lacks placer.Room
 }
 
 // waits reports whether the request takes its place in the line: a generation
@@ -65,14 +68,14 @@
 	j.awaitRoom()
 	select {
 	case p := <-w.Value.placed:
-		j.Metrics.Waited(j.priority, j.clock.Now()-w.Arrived)
+		j.Metrics.Waited(j.priority, j.clock.Now()-j.arrived)
 		return p.target, p.reservation, p.refusal
 	case <-j.ctx.Done():
 		return j.leaveLine(w)
 	}
 }
 
-// enter puts the generation in the line, unless it can't be served in time.
+// enter puts the generation in the line of its service.
 func (j *job) enter() *placer.Waiting[*waiter] {
 	w := &placer.Waiting[*waiter]{
 		Value:    &waiter{job: j, placed: make(chan placement, 1)},
@@ -87,7 +90,12 @@
 	if objective := j.route.Objective; objective > 0 {
 		w.InTime = w.Arrived + j.ledger.InTime(objective, j.request.PromptTokens)
 	}
-	j.line.Add(w)
+	line := j.lines[j.name]
+	if line == nil {
+		line = &placer.Line[*waiter]{}
+		j.lines[j.name] = line
+	}
+	line.Add(w)
 	return w
 }
 
@@ -119,7 +127,8 @@
 // left. It may have been placed in the same moment.
 func (j *job) leaveLine(w *placer.Waiting[*waiter]) (*registrar.Target, *placer.Reservation, *bluebelldoor.Refusal) {
 	j.mu.Lock()
-	waited := j.line.Remove(w)
+	line := j.lines[j.name]
+	waited := line != nil && line.Remove(w)
 	j.mu.Unlock()
 	if !waited {
 		p := <-w.Value.placed
@@ -132,7 +141,7 @@
 func (r *Relayer) awaitRoom() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.looking || r.line.Len() == 0 {
+	if r.looking || r.waiting() == 0 {
 		return
 	}
 	r.looking = true
@@ -144,7 +153,7 @@
 		time.Sleep(roomPoll)
 		r.admitWaiting()
 		r.mu.Lock()
-		if r.line.Len() == 0 {
+		if r.waiting() == 0 {
 			r.looking = false
 			r.mu.Unlock()
 			return
@@ -153,21 +162,52 @@
 	}
 }
 
-// admitWaiting sends generations from the line to targets that have room.
+// waiting counts the generations in all lines. It needs the lock.
+func (r *Relayer) waiting() int {
+	n := 0
+	for _, line := range r.lines {
+		n += line.Len()
+	}
+	return n
+}
+
+// admitWaiting sends generations from the lines to targets that have room, and
+// refuses those whose time does not suffice to wait.
 func (r *Relayer) admitWaiting() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	if r.leaving.Load() {
-		for _, w := range r.line.Drain() {
-			w.Value.refuse(bluebelldoor.Refuse(bluebelldoor.Draining, "this VM is leaving").WithRetryAfter(comeBack / 10))
+	for name, line := range r.lines {
+		if r.leaving.Load() {
+			refuseStreams(line, now)
+		}
+		line.Send(now, func(w *waiter) placer.Room {
+			w.lacks = w.place(now)
+			return w.lacks
+		})
+		for _, w := range line.Overdue(now) {
+			w.Value.refuse(w.Value.crowded(line.Len()))
+		}
+		if line.Len() == 0 {
+			delete(r.lines, name)
 		}
-		return
 	}
-	for _, w := range r.line.Overdue(now) {
-		w.Value.refuse(bluebelldoor.Refuse(bluebelldoor.EnginesCrowded, "no engine had room in time").WithRetryAfter(w.Value.job.comeLater()))
+}
+
+// refuseStreams refuses what would outlast a VM that leaves.
+func refuseStreams(line *placer.Line[*waiter], now time.Duration) {
+	for _, w := range line.Order(now) {
+		if w.Value.job.route.Streamed {
+			line.Remove(w)
+			w.Value.refuse(bluebelldoor.Refuse(bluebelldoor.Draining, "this VM is leaving").WithRetryAfter(comeBack / 10))
+		}
 	}
-	r.line.Send(now, func(w *waiter) placer.Room { return w.place(now) })
+}
+
+// crowded refuses a generation for which no engine has room in its time.
+func (w *waiter) crowded(others int) *bluebelldoor.Refusal {
+	detail := fmt.Sprintf("no engine has room in its time, the best lacks %s; %d others wait", w.lacks, others)
+	return bluebelldoor.Refuse(bluebelldoor.EnginesCrowded, detail).WithRetryAfter(w.job.comeLater())
 }
 
 func (w *waiter) refuse(refusal *bluebelldoor.Refusal) { w.placed <- placement{refusal: refusal} }
