Tests: give processes groups of their own

Cause: the shell's process group became orphaned while a member was stopped, and the kernel then hangs it up (SIGHUP, then SIGCONT); vm-0 died of it. Ruled out: load (the other VMs' lines are in time), the address (taken by nobody). Shown: with a shell that ends as soon as a VM is paused, under job control, the test fails each time; with a session of its own it passes; with groups of their own for the VMs it passes under job control too.

--- a/cmd/bluebelldoor/fleet_test.go
+++ b/cmd/bluebelldoor/fleet_test.go
@@ -51,6 +51,10 @@
 	os.Exit(code)
 }
 
+// ownGroup gives a process a group of its own. In that of the shell the kernel
+// hangs up a paused process when the shell ends before the tests do.
+func ownGroup() *syscall.SysProcAttr { return &syscall.SysProcAttr{Setpgid: true} }
+
 // vm is one VM's process.
 type vm struct {
 	spec     bluebelldoor.VMSpec
@@ -229,6 +233,7 @@
 	v.cmd = exec.Command(program, "serve", "-settings", v.settings)
 	v.cmd.Stderr = log
 	v.cmd.Stdout = log
+	v.cmd.SysProcAttr = ownGroup()
 	assert.NilError(f.t, v.cmd.Start())
 	f.t.Cleanup(func() {
 		_ = v.cmd.Process.Signal(syscall.SIGCONT)
--- a/cmd/bluebelldoor/soak_test.go
+++ b/cmd/bluebelldoor/soak_test.go
@@ -224,7 +224,7 @@
 	info, err := log.Stat()
 	assert.NilError(s.t, err)
 	cmd := exec.Command(program, "relay", "-settings", v.settings)
-	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Stdout, cmd.Stderr, cmd.SysProcAttr = log, log, ownGroup()
 	assert.NilError(s.t, cmd.Start())
 	ended, gone := make(chan error, 1), make(chan struct{})
 	v.mu.Lock()
