Take a fixed rate at which engines read

Generations waited (up to 1.9 s) before engines with few prompts. What an engine reads was learned from first events, and with eight VMs that serve each first event counts prompts that its VM has not heard of: engines looked slow, room scarce, and nearly all late.

--- a/request/placer/ledger.go
+++ b/request/placer/ledger.go
@@ -44,8 +44,6 @@
 	stalls map[string]fading
 	// unreachable is when a target last took no connection.
 	unreachable map[string]time.Duration
-	// readRate is how many tokens of prompts an engine reads in a second.
-	readRate float64
 }
 
 type peerLoads struct {
@@ -64,7 +62,6 @@
 
 		unreachable: map[string]time.Duration{},
 		stalls:      map[string]fading{},
-		readRate:    startReadRate,
 	}
 }
 
@@ -76,15 +73,11 @@
 	held    int
 	prefill int
 	ended   bool
-	// ahead is what the target had to read when the request was sent at since.
-	ahead int
-	since time.Duration
 }
 
-// Start notes that a request goes to a target at now. tokens is the memory that
-// it will come to need there, prefill the part of its prompt to be read.
-func (l *Ledger) Start(target string, tokens, prefill int, now time.Duration) *Reservation {
-	ahead := l.sums[target].prefill
+// Start notes that a request goes to a target. tokens is the memory that it
+// will come to need there, prefill the part of its prompt to be read.
+func (l *Ledger) Start(target string, tokens, prefill int) *Reservation {
 	own := l.own[target]
 	if own == nil {
 		own = &load{}
@@ -95,20 +88,14 @@
 	own.held += prefill
 	own.prefill += prefill
 	l.dirty = true
-	return &Reservation{ledger: l, target: target, tokens: tokens, held: prefill, prefill: prefill, ahead: ahead, since: now}
+	return &Reservation{ledger: l, target: target, tokens: tokens, held: prefill, prefill: prefill}
 }
 
-// Read notes that the prompt has been read by now.
-func (s *Reservation) Read(now time.Duration) {
+// Read notes that the prompt has been read.
+func (s *Reservation) Read() {
 	if s.ended || s.prefill == 0 {
 		return
 	}
-	s.ledger.begun(s.ahead+s.prefill, now-s.since)
-	s.unread()
-}
-
-// unread takes the prompt off what the target has to read.
-func (s *Reservation) unread() {
 	s.ledger.own[s.target].prefill -= s.prefill
 	s.prefill = 0
 	s.ledger.dirty = true
@@ -132,7 +119,7 @@
 	if s.ended {
 		return
 	}
-	s.unread()
+	s.Read()
 	s.ended = true
 	own := s.ledger.own[s.target]
 	own.requests--
--- a/request/placer/room.go
+++ b/request/placer/room.go
@@ -6,14 +6,9 @@
 )
 
 const (
-	// startReadRate is how many tokens of prompts an engine is taken to read in
-	// a second before any has been seen to, beside the generations that run.
-	startReadRate = 10_000
-	// leastReadRate and mostReadRate bound what is believed of an observation.
-	leastReadRate = 1_000
-	mostReadRate  = 100_000
-	// readWeight is the weight of the newest observation.
-	readWeight = 0.05
+	// ReadRate is how many tokens of prompts an engine reads in a second, beside
+	// the generations that run. The users' engines read 14,000 alone.
+	ReadRate = 10_000
 	// queueTime is how long the prompts may take that an engine has yet to
 	// read when it gets another: enough to keep it busy until the next word
 	// from peers, little enough that the order is made here.
@@ -52,10 +47,10 @@
 	Held, Needed float64
 }
 
-// Limits returns those of a new generation. What a short one will come to need
-// it needs for a moment only.
-func (l *Ledger) Limits(short bool) *Limits {
-	limits := &Limits{Prompts: l.readRate * queueTime.Seconds(), Held: heldShare, Needed: neededShare}
+// NewLimits returns those of a new generation. What a short one will come to
+// need it needs for a moment only.
+func NewLimits(short bool) *Limits {
+	limits := &Limits{Prompts: ReadRate * queueTime.Seconds(), Held: heldShare, Needed: neededShare}
 	if short {
 		limits.Needed = 0
 	}
@@ -84,20 +79,12 @@
 	}
 }
 
-// ReadRate returns how many tokens of prompts an engine reads in a second, as
-// seen of late.
-func (l *Ledger) ReadRate() float64 { return l.readRate }
-
-// begun notes that an engine took so long to read a prompt and those before it.
-func (l *Ledger) begun(tokens int, took time.Duration) {
-	if tokens <= 0 || took <= 0 {
-		return
-	}
-	seen := min(max(float64(tokens)/took.Seconds(), leastReadRate), mostReadRate)
-	l.readRate += readWeight * (seen - l.readRate)
+// ReadTime returns how long an engine reads a prompt.
+func ReadTime(prompt int) time.Duration {
+	return time.Duration(prompt) * time.Second / ReadRate
 }
 
 // InTime returns until when a generation must be sent to begin by objective.
-func (l *Ledger) InTime(objective time.Duration, prompt int) time.Duration {
-	return objective - queueTime - time.Duration(float64(prompt)/l.readRate*float64(time.Second))
+func InTime(objective time.Duration, prompt int) time.Duration {
+	return objective - queueTime - ReadTime(prompt)
 }
--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -180,7 +180,7 @@
 	if choice.Index < 0 {
 		return nil, nil
 	}
-	reservation := j.ledger.Start(targets[choice.Index].ID, 0, 0, now)
+	reservation := j.ledger.Start(targets[choice.Index].ID, 0, 0)
 	reservation.Need(max(tokens, demand.Tokens), tokens)
 	return targets[choice.Index], reservation
 }
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -69,7 +69,7 @@
 	if cold {
 		j.ledger.SentCold(t.ID, now)
 	}
-	return j.ledger.Start(t.ID, demand.Tokens, j.request.PromptTokens, now)
+	return j.ledger.Start(t.ID, demand.Tokens, j.request.PromptTokens)
 }
 
 // chosen logs a choice. The log does not block.
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -71,7 +71,7 @@
 		return
 	}
 	j.mu.Lock()
-	reservation.Read(j.clock.Now())
+	reservation.Read()
 	j.mu.Unlock()
 }
 
--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -88,7 +88,7 @@
 	w.Latest = j.latest()
 	w.InTime = w.Latest
 	if objective := j.route.Objective; objective > 0 {
-		w.InTime = w.Arrived + j.ledger.InTime(objective, j.request.PromptTokens)
+		w.InTime = w.Arrived + placer.InTime(objective, j.request.PromptTokens)
 	}
 	line := j.lines[j.name]
 	if line == nil {
@@ -109,10 +109,8 @@
 }
 
 // latest returns until when the generation must be sent to be of use: to begin
-// while its caller still waits, and to end in its time. It needs the ledger's
-// lock.
+// while its caller still waits, and to end in its time.
 func (j *job) latest() time.Duration {
-	read := time.Duration(float64(j.request.PromptTokens) / j.ledger.ReadRate() * float64(time.Second))
 	latest := j.arrived + forgetAfter
 	if j.deadline > 0 {
 		latest = j.deadline - time.Duration(min(j.expected(), longTokens))*tokenTime
@@ -120,7 +118,7 @@
 	if objective := j.route.Objective; objective > 0 {
 		latest = min(latest, j.arrived+patience*objective)
 	}
-	return latest - read
+	return latest - placer.ReadTime(j.request.PromptTokens)
 }
 
 // leaveLine ends the wait of a request whose time is over or whose caller has
@@ -221,7 +219,7 @@
 		return placer.HasRoom
 	}
 	demand := j.demand()
-	demand.Limits = j.ledger.Limits(!j.long())
+	demand.Limits = placer.NewLimits(!j.long())
 	choice := j.ledger.Pick(candidates, demand, now, rand.Float64)
 	if choice.Index < 0 {
 		return max(choice.Lacks, placer.NoReading)
--- a/standin/rater/relay.go
+++ b/standin/rater/relay.go
@@ -70,7 +70,7 @@
 	arrived := j.arrived
 	r.line.Add(&placer.Waiting[*job]{
 		Value: j, Priority: j.request.Class.Priority(), Arrived: arrived,
-		InTime: arrived + r.ledger.InTime(objective, j.kind.Prompt), Latest: arrived + j.kind.Within,
+		InTime: arrived + placer.InTime(objective, j.kind.Prompt), Latest: arrived + j.kind.Within,
 		Long: j.hint >= longHint,
 	})
 	return r.tick()
@@ -86,7 +86,7 @@
 	engines, candidates := r.candidates(nil)
 	r.line.Send(now, func(j *job) placer.Room {
 		d := r.demand(j)
-		d.Limits = r.ledger.Limits(j.hint < longHint)
+		d.Limits = placer.NewLimits(j.hint < longHint)
 		choice := r.ledger.Pick(candidates, d, now, r.bench.random.Float64)
 		if choice.Index < 0 {
 			return max(choice.Lacks, placer.NoReading)
@@ -99,7 +99,7 @@
 }
 
 func (r *relaying) place(j *job, e *engineState, tokens, prefill int) {
-	r.placed[j] = r.ledger.Start(e.name, tokens, prefill, r.bench.now)
+	r.placed[j] = r.ledger.Start(e.name, tokens, prefill)
 	r.tell()
 }
 
@@ -122,7 +122,7 @@
 	if reservation == nil {
 		return
 	}
-	reservation.Read(r.bench.now)
+	reservation.Read()
 	made := j.result.tokens
 	reservation.Need(j.kind.Prompt+max(j.hint, made), j.kind.Prompt+made)
 }
