Refuse requests in the last second of a planned stop

The VM refuses all requests in the last second of a stop. TestRelayLastRequests: four callers that go on asking had four requests cut, now none.

--- a/process/runner/drain.go
+++ b/process/runner/drain.go
@@ -9,6 +9,9 @@
 	// newStreamsFor is the part of a planned stop in which new streams are
 	// still taken from callers with old addresses.
 	newStreamsFor = 0.3
+	// lastTaken is the time before the end of a stop up to which requests are
+	// still taken: longer than most take, so that the last are not cut.
+	lastTaken = time.Second
 	// stopEarly is the time before the platform's limit at which a stop ends.
 	stopEarly = 400 * time.Millisecond
 	// oldAddressTimes is how many times an answer's validity callers may use
@@ -38,6 +41,9 @@
 		if elapsed > time.Duration(float64(r.settings.StopWithin)*newStreamsFor) {
 			r.relayer.Leave()
 		}
+		if elapsed > limit-lastTaken {
+			r.relayer.Close()
+		}
 		if r.acceptor.Busy() > 0 {
 			quiet = now
 		}
--- a/process/runner/stops_test.go
+++ b/process/runner/stops_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -91,6 +92,43 @@
 	assert.Equal(t, <-drained, 0)
 }
 
+// TestRelayLastRequests stops a VM under callers that go on asking it until it
+// has gone, as some do with an old address: none of their requests is cut.
+func TestRelayLastRequests(t *testing.T) {
+	f := startRelays(t, 2)
+	app := f.yard.Add("app-1", "app", "dc-0")
+	defer app.Stop()
+	f.settle(t)
+	app.Acts(func(*http.Request) lender.Act { return lender.Slow })
+	vm := f.vms[0]
+	changed := *vm.settings
+	changed.KeyEvidence = time.Minute
+	vm.Reload(&changed)
+	ended := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range 4 {
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				got := vm.ask(t, "POST", toUnsafe+"x", fmt.Sprintf("last-%d-%d", i, n), nil)
+				assert.Check(t, got.status == 200 || got.status == 503, "status %d", got.status)
+				if got.status == 503 {
+					assert.Check(t, got.header.Get("Retry-After") != "")
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+		})
+	}
+	cut := vm.Drain(context.Background())
+	close(ended)
+	callers.Wait()
+	assert.Equal(t, cut, 0)
+}
+
 // fillEngine starts generations that nearly fill an engine's memory, and
 // returns when they run. The channel gets their answers.
 func (f *relays) fillEngine(t *testing.T, engine *lender.Target) chan answer {
--- a/request/relayer/admit.go
+++ b/request/relayer/admit.go
@@ -10,6 +10,9 @@
 
 // admit finds route, client account, time and service, or refuses.
 func (j *job) admit() *bluebelldoor.Refusal {
+	if j.closed.Load() {
+		return bluebelldoor.Refuse(bluebelldoor.Draining, "this VM ends").WithRetryAfter(comeBack / 10)
+	}
 	view := j.sources.View()
 	routing := view.Routing()
 	age, proved := j.sources.Evidence()
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -63,6 +63,7 @@
 	clock    bluebelldoor.Clock
 	log      hclog.Logger
 	leaving  atomic.Bool
+	closed   atomic.Bool
 
 	mu      sync.Mutex
 	ledger  *placer.Ledger
@@ -99,6 +100,9 @@
 	}
 }
 
+// Close makes the VM refuse all requests: it ends before it could serve them.
+func (r *Relayer) Close() { r.closed.Store(true) }
+
 // Waiting returns how many generations wait for an engine.
 func (r *Relayer) Waiting() int {
 	r.mu.Lock()
