--- a/cmd/bluebelldoor/fleet_test.go
+++ b/cmd/bluebelldoor/fleet_test.go
@@ -6,12 +6,10 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -21,6 +19,7 @@
 
 	"bluebelldoor"
 	"bluebelldoor/process/runner"
+	"bluebelldoor/standin/allocator"
 	"bluebelldoor/standin/batcher"
 	"bluebelldoor/standin/booker"
 	"bluebelldoor/standin/caller"
@@ -79,28 +78,12 @@
 	revision uint64
 }
 
-// Ports are taken in turn from below the range that the system draws the ports
-// of outgoing connections from; one of those could take a port between the
-// moment it was found free and the moment a process listens on it.
-const (
-	firstPort = 20_000
-	portCount = 10_000
-)
-
-var nextPort atomic.Int32
-
+// freeAddress returns a loopback address that nobody listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range portCount {
-		offset := (os.Getpid()*97 + int(nextPort.Add(1))) % portCount
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset)
-		if l, err := net.Listen("tcp", address); err == nil {
-			assert.NilError(t, l.Close())
-			return address
-		}
-	}
-	t.Fatal("no port is free")
-	return ""
+	address, err := allocator.Address()
+	assert.NilError(t, err)
+	return address
 }
 
 // dataCentre spreads VMs and targets over three data centres.
--- a/process/runner/relay_test.go
+++ b/process/runner/relay_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -122,7 +123,7 @@
 	relay, stop, err := runner.NewRelay(r.settings, runner.RelayAdapters{
 		Codec: platform.Codec{}, Catalogue: catalogue, Mover: engines, Reporter: engines, Clock: clock,
 		ServeReady: platform.ServeReady, ServeDirectory: platform.ServeDirectory,
-	}, hclog.NewNullLogger())
+	}, keptLog(t, r.settings.Name))
 	assert.NilError(t, err)
 	r.Relay, r.stop = relay, func() {
 		stop()
@@ -132,6 +133,38 @@
 	t.Cleanup(func() { r.stop() })
 }
 
+// loggedTail is how many bytes of a VM's log a failed test prints, the last
+// ones.
+const loggedTail = 6_000
+
+// tail is a log of a VM that is printed when its test has failed.
+type tail struct {
+	mu   sync.Mutex
+	kept []byte
+}
+
+func (l *tail) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.kept = append(l.kept, line...)
+	if len(l.kept) > 2*loggedTail {
+		l.kept = append([]byte(nil), l.kept[len(l.kept)-loggedTail:]...)
+	}
+	return len(line), nil
+}
+
+func keptLog(t *testing.T, name string) hclog.Logger {
+	l := &tail{}
+	t.Cleanup(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if t.Failed() {
+			t.Logf("end of the log of %s:\n%s", name, l.kept[max(0, len(l.kept)-loggedTail):])
+		}
+	})
+	return hclog.New(&hclog.LoggerOptions{Output: l, Level: hclog.Info, TimeFormat: "15:04:05.000"})
+}
+
 // await waits until a condition holds.
 func await(t *testing.T, what string, condition func() bool) {
 	t.Helper()
@@ -158,6 +191,7 @@
 	began := time.Now()
 	conn, err := net.Dial("tcp", r.settings.CallerAddress)
 	if err != nil {
+		t.Logf("%s: connect: %v", id, err)
 		return answer{}
 	}
 	defer conn.Close()
@@ -171,10 +205,12 @@
 	assert.NilError(t, h.Write(&b))
 	b.WriteString("\r\nbody")
 	if _, err := io.WriteString(conn, b.String()); err != nil {
+		t.Logf("%s: write: %v", id, err)
 		return answer{}
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
 	if err != nil {
+		t.Logf("%s: read: %v", id, err)
 		return answer{took: time.Since(began)}
 	}
 	body, err := io.ReadAll(response.Body)
