Keep idle connections within what targets take from all VMs

A target resets connections beyond its max_conns, and a request that may run once is lost in the reset. VMs kept up to eight idle connections each, one more from each request that may run once; the number that targets take was decoded and not used.

Ruled out: the runners' places (6, one in use on average), queues at the runners.

A VM keeps its share of the connections beyond a target's places, and a choice counts a target without a free connection as full. Red first: TestRelayConnections (502); TestMostIdle, TestRoom.

--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -30,8 +30,8 @@
 	idleMargin = time.Second
 	// largeBody is written beside reading the answer, which may come early.
 	largeBody = 16 << 10
-	// maxIdlePerTarget bounds the kept connections.
-	maxIdlePerTarget = 8
+	// MaxIdle bounds the idle connections to a target.
+	MaxIdle = 8
 	// readBuffer holds the head of an answer.
 	readBuffer = 8 << 10
 	// strayWait is how long an answer is waited for after one to another
@@ -118,15 +118,16 @@
 	return nil
 }
 
-func (x *Exchanger) put(t *bluebelldoor.Instance, c *channel, idle time.Duration) {
-	if idle <= 0 {
-		idle = defaultIdle
+// put keeps a connection for idleFor at the most, unless there are most already.
+func (x *Exchanger) put(t *bluebelldoor.Instance, c *channel, idleFor time.Duration, most int) {
+	if idleFor <= 0 {
+		idleFor = defaultIdle
 	}
-	c.until = time.Now().Add(min(idle-idleMargin, defaultIdle))
+	c.until = time.Now().Add(min(idleFor-idleMargin, defaultIdle))
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	list := x.idle[key(t)]
-	if len(list) >= maxIdlePerTarget {
+	if len(list) >= min(most, MaxIdle) {
 		c.conn.Close()
 		return
 	}
@@ -156,6 +157,9 @@
 	// Fresh asks for a new connection: a request that may run only once is
 	// not risked on one that the target may just have closed.
 	Fresh bool
+	// MostIdle is how many idle connections to the target the VM may keep, of
+	// those that it takes from all VMs.
+	MostIdle int
 	// Permit is asked as the last step before bytes leave.
 	Permit func() error
 }
@@ -176,10 +180,10 @@
 		c = opened
 	}
 	if err := o.Permit(); err != nil {
-		x.put(t, c, 0)
+		x.put(t, c, 0, o.MostIdle)
 		return nil, err
 	}
-	a := &Answer{owner: x, target: t, channel: c, written: make(chan error, 1)}
+	a := &Answer{owner: x, target: t, channel: c, mostIdle: o.MostIdle, written: make(chan error, 1)}
 	a.unwatch = context.AfterFunc(ctx, func() { c.conn.Close() })
 	if err := a.exchange(o); err != nil {
 		a.Close()
@@ -197,6 +201,7 @@
 	channel  *channel
 	unwatch  func() bool
 	written  chan error
+	mostIdle int
 	response *http.Response
 	head     bluebelldoor.AnswerHead
 	ended    bool
@@ -299,7 +304,7 @@
 		return
 	}
 	a.closed = true
-	a.owner.put(a.target, a.channel, a.head.IdleFor)
+	a.owner.put(a.target, a.channel, a.head.IdleFor, a.mostIdle)
 }
 
 // Close gives the answer up and closes its connection, unless it was whole.
--- a/connection/exchanger/exchanger_test.go
+++ b/connection/exchanger/exchanger_test.go
@@ -57,7 +57,7 @@
 
 func outgoing(id string, fresh bool) *exchanger.Outgoing {
 	return &exchanger.Outgoing{
-		ID: id, Method: "POST", URI: "/a/", Host: "h", Fresh: fresh,
+		ID: id, Method: "POST", URI: "/a/", Host: "h", Fresh: fresh, MostIdle: exchanger.MaxIdle,
 		Header: http.Header{"Attempt-Id": {id}},
 		Permit: func() error { return nil },
 	}
@@ -294,6 +294,41 @@
 	assert.Assert(t, time.Since(began) < 700*time.Millisecond, "after %s", time.Since(began))
 }
 
+// TestMostIdle keeps no more idle connections than a request allows.
+func TestMostIdle(t *testing.T) {
+	for name, c := range map[string]struct{ most, kept int }{
+		"none":     {0, 0},
+		"two":      {2, 2},
+		"too many": {100, exchanger.MaxIdle},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const requests = exchanger.MaxIdle + 2
+			to, _ := target(t, func(_ int, id string, conn net.Conn) { _, _ = io.WriteString(conn, ok(id, "abc")) })
+			x, stop := exchanger.New(platform.Codec{})
+			defer stop()
+			for range requests {
+				o := outgoing("r1", true)
+				o.MostIdle = c.most
+				answer, err := x.Send(context.Background(), to, o)
+				assert.NilError(t, err)
+				_, err = io.ReadAll(answer)
+				assert.NilError(t, err)
+			}
+			// Each kept connection takes one of the requests that follow at once.
+			answers := make([]*exchanger.Answer, 0, requests)
+			for range requests {
+				answer, err := x.Send(context.Background(), to, outgoing("r1", false))
+				assert.NilError(t, err)
+				answers = append(answers, answer)
+			}
+			assert.Equal(t, int(x.Opened()), 2*requests-c.kept)
+			for _, answer := range answers {
+				answer.Close()
+			}
+		})
+	}
+}
+
 // TestForget closes the idle connections to a target that has gone.
 func TestForget(t *testing.T) {
 	closed := make(chan struct{})
--- a/process/runner/moves_test.go
+++ b/process/runner/moves_test.go
@@ -186,6 +186,24 @@
 	}
 }
 
+// TestRelayConnections keeps to the connections that a target takes from all
+// VMs: one beyond them is reset, and a request that may run once is lost in it.
+func TestRelayConnections(t *testing.T) {
+	const slots = 44 // leaves six connections of those that the target takes
+	f := startRelays(t, 4)
+	one := f.yard.Add("app-1", "app", "dc-0")
+	defer one.Stop()
+	one.LimitConnections(mostConnections - slots)
+	one.RegisterSlots(slots)
+	f.settle(t)
+	for _, vm := range f.vms {
+		await(t, "the VMs know each other", func() bool { return len(vm.Status().Members) == len(f.vms) })
+	}
+	for i := range 80 {
+		assert.Equal(t, f.vms[i%4].ask(t, "POST", toUnsafe+"x", fmt.Sprintf("c-%d", i), nil).status, 200)
+	}
+}
+
 // TestRelayReusedAddress never runs a request at a target of another service
 // that has taken an address over.
 func TestRelayReusedAddress(t *testing.T) {
--- a/process/runner/relay_test.go
+++ b/process/runner/relay_test.go
@@ -47,6 +47,8 @@
 	testKey    = "key-1"
 	keyGrace   = 1200 * time.Millisecond
 	testBudget = 100
+	// mostConnections is how many connections an application runner takes.
+	mostConnections = 50
 )
 
 func route(prefix, kind, service string, more map[string]any) map[string]any {
@@ -80,7 +82,7 @@
 			route("/public/", "safe", "app", map[string]any{"public": true}),
 		},
 		"services": []any{
-			map[string]any{"name": "app", "health_path": "/health", "max_conns": 50},
+			map[string]any{"name": "app", "health_path": "/health", "max_conns": mostConnections},
 			engineService("engine"),
 			engineService("second"),
 		},
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -65,6 +65,9 @@
 	Held       int
 	DataCentre string
 	Engine     *bluebelldoor.EngineKind
+	// Connections is how many a target takes from all VMs, one a request; 0 if
+	// that is not known.
+	Connections int
 	// ColdPerSecond is how many requests a cold target may get from this VM in
 	// a second; below 0 there is no limit.
 	ColdPerSecond float64
@@ -153,7 +156,7 @@
 		cost += lapsedCost
 	}
 	full := false
-	if slots := c.Instance.Slots; slots > 0 {
+	if slots := places(c, d); slots > 0 {
 		share := float64(sum.requests) / float64(slots)
 		cost += 2 * share
 		full = sum.requests >= slots
@@ -176,6 +179,15 @@
 	return cost, full
 }
 
+// places returns how many requests a target runs at once, 0 if that is not
+// known.
+func places(c Candidate, d Demand) int {
+	if d.Connections > 0 && c.Instance.Slots > 0 {
+		return min(c.Instance.Slots, d.Connections)
+	}
+	return max(c.Instance.Slots, d.Connections)
+}
+
 // stuckShare returns the part of an engine's memory that could not be copied
 // away in time if so many tokens were in use.
 func stuckShare(held int, kind *bluebelldoor.EngineKind) float64 {
--- a/request/placer/room.go
+++ b/request/placer/room.go
@@ -68,8 +68,9 @@
 		return HasRoom
 	}
 	memory := float64(d.Engine.MemoryTokens)
+	slots := places(c, d)
 	switch {
-	case float64(sum.prefill) > d.Limits.Prompts || c.Instance.Slots > 0 && sum.requests >= c.Instance.Slots:
+	case float64(sum.prefill) > d.Limits.Prompts || slots > 0 && sum.requests >= slots:
 		return NoReading
 	case float64(sum.held+d.Held) > d.Limits.Held*memory,
 		d.Limits.Needed > 0 && float64(sum.tokens+d.Tokens) > d.Limits.Needed*memory:
--- a/request/placer/room_test.go
+++ b/request/placer/room_test.go
@@ -19,17 +19,20 @@
 	short := placer.Demand{Tokens: 2015, Held: 2000, Engine: kind, ColdPerSecond: -1}
 	for name, c := range map[string]struct {
 		tokens, held, prefill int
-		slots                 int
+		slots, connections    int
 		long, short, copied   placer.Room
 	}{
-		"idle":                     {0, 0, 0, 24, placer.HasRoom, placer.HasRoom, placer.HasRoom},
-		"half full":                {17000, 15000, 0, 24, placer.HasRoom, placer.HasRoom, placer.HasRoom},
-		"prompts of half a second": {5000, 5000, 5000, 24, placer.HasRoom, placer.HasRoom, placer.HasRoom},
-		"prompts of two seconds":   {20000, 20000, 20000, 24, placer.NoReading, placer.NoReading, placer.HasRoom},
-		"will be full":             {48000, 20000, 0, 24, placer.NoMemory, placer.HasRoom, placer.HasRoom},
-		"nearly full":              {32000, 28000, 0, 24, placer.NoMemory, placer.HasRoom, placer.HasRoom},
-		"full":                     {36000, 33000, 0, 24, placer.NoMemory, placer.NoMemory, placer.NoMemory},
-		"no place":                 {3000, 3000, 0, 1, placer.NoReading, placer.NoReading, placer.NoReading},
+		"idle":                     {0, 0, 0, 24, 0, placer.HasRoom, placer.HasRoom, placer.HasRoom},
+		"half full":                {17000, 15000, 0, 24, 0, placer.HasRoom, placer.HasRoom, placer.HasRoom},
+		"prompts of half a second": {5000, 5000, 5000, 24, 0, placer.HasRoom, placer.HasRoom, placer.HasRoom},
+		"prompts of two seconds":   {20000, 20000, 20000, 24, 0, placer.NoReading, placer.NoReading, placer.HasRoom},
+		"will be full":             {48000, 20000, 0, 24, 0, placer.NoMemory, placer.HasRoom, placer.HasRoom},
+		"nearly full":              {32000, 28000, 0, 24, 0, placer.NoMemory, placer.HasRoom, placer.HasRoom},
+		"full":                     {36000, 33000, 0, 24, 0, placer.NoMemory, placer.NoMemory, placer.NoMemory},
+		"no place":                 {3000, 3000, 0, 1, 0, placer.NoReading, placer.NoReading, placer.NoReading},
+		"no connection":            {3000, 3000, 0, 24, 1, placer.NoReading, placer.NoReading, placer.NoReading},
+		"connections only":         {3000, 3000, 0, 0, 1, placer.NoReading, placer.NoReading, placer.NoReading},
+		"one of two connections":   {3000, 3000, 0, 24, 2, placer.HasRoom, placer.HasRoom, placer.HasRoom},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := placer.NewLedger()
@@ -40,7 +43,7 @@
 			target := instance("a", "x")
 			target.Slots = c.slots
 			room := func(d placer.Demand, limits *placer.Limits) placer.Room {
-				d.Limits = limits
+				d.Limits, d.Connections = limits, c.connections
 				got := l.Pick([]placer.Candidate{{Instance: target}}, d, 0, rand.Float64)
 				assert.Equal(t, got.Index < 0, got.Lacks != placer.HasRoom)
 				return got.Lacks
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -16,7 +16,7 @@
 
 // demand returns what the request needs of a target.
 func (j *job) demand() placer.Demand {
-	d := placer.Demand{DataCentre: j.settings.Load().DataCentre, Engine: j.service.Engine, ColdPerSecond: -1}
+	d := placer.Demand{DataCentre: j.settings.Load().DataCentre, Engine: j.service.Engine, Connections: j.service.MaxConnections, ColdPerSecond: -1}
 	if j.route.Generates {
 		d.Tokens, d.Held = j.request.PromptTokens+j.expected(), j.request.PromptTokens
 	}
@@ -98,6 +98,15 @@
 	return targets, candidates
 }
 
+// mostIdle returns how many idle connections to a target this VM may keep: its
+// share of those that the target takes beyond the requests that it runs.
+func (j *job) mostIdle(t *registrar.Target) int {
+	if j.service.MaxConnections == 0 {
+		return exchanger.MaxIdle
+	}
+	return int(float64(max(0, j.service.MaxConnections-t.Slots)) * j.sources.Share())
+}
+
 // outgoing returns the request as it goes to a target.
 func (j *job) outgoing(t *registrar.Target, resumeAfter, copied string) *exchanger.Outgoing {
 	return &exchanger.Outgoing{
@@ -113,8 +122,9 @@
 			ResumeAfter: resumeAfter,
 			Copy:        copied,
 		}),
-		Body:   j.request.Body,
-		Fresh:  !j.route.Repeatable(),
-		Permit: func() error { return j.permit(t) },
+		Body:     j.request.Body,
+		Fresh:    !j.route.Repeatable(),
+		MostIdle: j.mostIdle(t),
+		Permit:   func() error { return j.permit(t) },
 	}
 }
--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -82,6 +83,11 @@
 	copyFail int // status that the next copies answer
 	live     map[string]*generation
 	leaving  bool
+	// taken are the connections that are open, of at most mostTaken; 0 for no
+	// limit.
+	taken     map[net.Conn]bool
+	mostTaken int
+	slots     int // that the entry tells
 }
 
 // generation is a stream under way. Its run tells runs of one request apart.
@@ -100,6 +106,8 @@
 	Pace = 10 * time.Millisecond
 	// copyTime is how long a copy takes.
 	copyTime = 15 * time.Millisecond
+	// defaultSlots is how many requests a target runs at once.
+	defaultSlots = 24
 )
 
 // Add starts a target and registers it. Call Stop at the end.
@@ -110,8 +118,10 @@
 // AddBehind starts a target and registers it at the address that front returns
 // for its own, such as that of a link.
 func (y *Yard) AddBehind(id, service, zone string, front func(address string) string) *Target {
-	t := &Target{ID: id, Service: service, Zone: zone, yard: y, born: time.Now().UnixMilli(), live: map[string]*generation{}}
-	t.server = httptest.NewServer(t)
+	t := &Target{ID: id, Service: service, Zone: zone, yard: y, born: time.Now().UnixMilli(), live: map[string]*generation{}, taken: map[net.Conn]bool{}, slots: defaultSlots}
+	t.server = httptest.NewUnstartedServer(t)
+	t.server.Config.ConnState = t.count
+	t.server.Start()
 	t.front = front(t.server.Listener.Addr().String())
 	y.mu.Lock()
 	y.targets[t.Address()] = t
@@ -127,13 +137,22 @@
 func (t *Target) Register(state string) {
 	t.mu.Lock()
 	t.leaving = state == "draining"
+	slots := t.slots
 	t.mu.Unlock()
 	t.yard.store.Put("servers/"+t.ID, map[string]any{
-		"service": t.Service, "address": t.Address(), "zone": t.Zone, "version": "v1", "slots": 24,
+		"service": t.Service, "address": t.Address(), "zone": t.Zone, "version": "v1", "slots": slots,
 		"state": state, "cold_ms": 0, "sequence": 1, "born": t.born,
 	})
 }
 
+// RegisterSlots writes the target's entry anew, with so many slots.
+func (t *Target) RegisterSlots(slots int) {
+	t.mu.Lock()
+	t.slots = slots
+	t.mu.Unlock()
+	t.Register("ready")
+}
+
 // Acts sets what the target does with requests.
 func (t *Target) Acts(act func(r *http.Request) Act) {
 	t.mu.Lock()
@@ -141,6 +160,32 @@
 	t.act = act
 }
 
+// LimitConnections sets how many connections the target takes; those beyond
+// are reset.
+func (t *Target) LimitConnections(most int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mostTaken = most
+}
+
+// count keeps the open connections, and resets those beyond the limit.
+func (t *Target) count(conn net.Conn, state http.ConnState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case state == http.StateClosed || state == http.StateHijacked:
+		delete(t.taken, conn)
+	case state != http.StateNew:
+	case t.mostTaken > 0 && len(t.taken) >= t.mostTaken:
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // so that closing resets it
+		}
+		_ = conn.Close()
+	default:
+		t.taken[conn] = true
+	}
+}
+
 // FailCopies makes copies off the target answer a status, 0 for none.
 func (t *Target) FailCopies(status int) {
 	t.mu.Lock()
