Let the last refusals of a planned stop leave

Cause: TestRelayLastRequests failed once in a run of the package (cut 4). A stop ended in the same millisecond in which four requests were being refused; they count as cut, and their refusals may not have left.

Ruled out: requests sent to a target (the log shows refusals alone in the last second).

--- a/process/runner/drain.go
+++ b/process/runner/drain.go
@@ -17,6 +17,10 @@
 	// oldAddressTimes is how many times an answer's validity callers may use
 	// it, as the slowest of them do.
 	oldAddressTimes = 3
+	// lastRefusals is how long refusals may take to leave, lastPoll how often
+	// that is looked at; both fit well into stopEarly.
+	lastRefusals = 100 * time.Millisecond
+	lastPoll     = time.Millisecond
 	// quietFor is how long no request must have come before a stop ends early.
 	quietFor = time.Second
 )
@@ -55,7 +59,17 @@
 		case <-ticker.C:
 		}
 	}
+	r.awaitLast(ctx)
 	cut := r.acceptor.Busy()
 	r.log.Info("drained", "cut", cut)
 	return cut
 }
+
+// awaitLast waits for requests that came in the last moment: they are refused
+// at once, but the refusal has to leave.
+func (r *Relay) awaitLast(ctx context.Context) {
+	until := r.adapters.Clock.Now() + lastRefusals
+	for ctx.Err() == nil && r.acceptor.Busy() > 0 && r.adapters.Clock.Now() < until {
+		time.Sleep(lastPoll)
+	}
+}
--- a/process/runner/stops_test.go
+++ b/process/runner/stops_test.go
@@ -118,7 +118,7 @@
 				assert.Check(t, got.status == 200 || got.status == 503, "status %d", got.status)
 				if got.status == 503 {
 					assert.Check(t, got.header.Get("Retry-After") != "")
-					time.Sleep(20 * time.Millisecond)
+					time.Sleep(time.Millisecond)
 				}
 			}
 		})
