Let generations wait only while they can begin in time

Those that were late got the room of those that came: 70 of 257 restore plans late, 22 failed.

Ruled out: the order in the line (late ones go last already), the callers' return (8 to 13 s), the length of the wait alone as a price: what is earned before prices rises too.

A generation waits for half of the time until which it could be sent to begin within its objective, then its caller is told when to come back.

--- a/request/placer/room.go
+++ b/request/placer/room.go
@@ -89,3 +89,14 @@
 func InTime(objective time.Duration, prompt int) time.Duration {
 	return objective - queueTime - ReadTime(prompt)
 }
+
+// waitShare is the part of the time until InTime that a generation waits for
+// room; the rest is for engines that take longer than is reckoned.
+const waitShare = 0.5
+
+// WaitTime returns how long a generation waits for room before its caller is
+// refused. Beyond it the generation would begin late, and take the room of one
+// that comes now.
+func WaitTime(objective time.Duration, prompt int) time.Duration {
+	return max(0, time.Duration(waitShare*float64(InTime(objective, prompt))))
+}
--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -18,8 +18,8 @@
 	latestReturn  = 13 * time.Second
 	// returnPart is the part of the time left that callers wait at most.
 	returnPart = 1.0 / 3
-	// patience is how many objectives a caller is kept waiting for room: beyond
-	// that few still want the answer.
+	// patience is how many objectives callers wait for the first event: with less
+	// time than that another try is of no use.
 	patience = 3
 	// longTokens is how many expected tokens make a generation that holds its
 	// memory for seconds; shorter ones make room again soon.
@@ -108,17 +108,18 @@
 	return j.arrived
 }
 
-// latest returns until when the generation must be sent to be of use: to begin
-// while its caller still waits, and to end in its time.
+// latest returns until when the generation waits for room: as long as it can
+// begin within its objective, counted anew for a caller that has come back, and
+// end in its time.
 func (j *job) latest() time.Duration {
 	latest := j.arrived + forgetAfter
 	if j.deadline > 0 {
-		latest = j.deadline - time.Duration(min(j.expected(), longTokens))*tokenTime
+		latest = j.deadline - time.Duration(min(j.expected(), longTokens))*tokenTime - placer.ReadTime(j.request.PromptTokens)
 	}
 	if objective := j.route.Objective; objective > 0 {
-		latest = min(latest, j.arrived+patience*objective)
+		latest = min(latest, j.arrived+placer.WaitTime(objective, j.request.PromptTokens))
 	}
-	return latest - placer.ReadTime(j.request.PromptTokens)
+	return latest
 }
 
 // leaveLine ends the wait of a request whose time is over or whose caller has
