One line for both interfaces: wait while in time, then come back

Cause: the relay's core and that of the own interface each had a queue of their own.

Ruled out: VMs that hear of each other's loads as the reason (the own core gains as much without), expected lengths (learned in the own core, told in the relay's).

The own interface's queue, its reckoned wait and its order give way to placer.Line, WaitTime and ComeBack; one start in eight for the most urgent stays. The rater's callers come back when they are told to. Callers with little time are told to come back while a try is of use (ComeBack; before, checks with 5.7 s left were told 8 to 13).

The package and process tests pass.

--- a/request/admitter/admitter.go
+++ b/request/admitter/admitter.go
@@ -5,6 +5,7 @@
 
 	"bluebelldoor"
 	"bluebelldoor/request/estimator"
+	"bluebelldoor/request/placer"
 	"bluebelldoor/request/router"
 )
 
@@ -15,17 +16,14 @@
 	// before every class; one in urgentEvery starts does. This bounds starvation.
 	urgentAfter = 0.5
 	urgentEvery = 8
-	// mayPass is how many waiting requests that do not fit now others may pass,
-	// until one of them has waited for the share passedFor of its time.
-	mayPass   = 4
-	passedFor = 0.2
+	// objective is within what a first token is wanted: that of the users'
+	// most urgent streams. Classes state none.
+	objective = 1500 * time.Millisecond
 	// smoothing weighs the newest of the measured times.
 	smoothing = 0.1
-	// startTokenTime and startInterval are assumed before any was measured.
+	// startTokenTime is assumed before any was measured.
 	startTokenTime = 20 * time.Millisecond
-	startInterval  = 50 * time.Millisecond
 	minRetryAfter  = 500 * time.Millisecond
-	maxRetryAfter  = 30 * time.Second
 	// estimateEvery is after how many tokens the rest is estimated anew.
 	estimateEvery = 16
 )
@@ -62,12 +60,11 @@
 	table     *router.Table
 	document  *bluebelldoor.Document
 	estimator *estimator.Estimator
-	queue     []*Request
+	lines     map[string]*placer.Line[*Request] // by model
+	epoch     time.Time
 	active    map[string]*Request
 	accounts  map[string]int
 	tokenTime time.Duration
-	interval  time.Duration
-	started   time.Time
 	starts    int
 	restSum   int
 	random    func() uint64
@@ -89,8 +86,8 @@
 		estimator: estimator.New(),
 		active:    map[string]*Request{},
 		accounts:  map[string]int{},
+		lines:     map[string]*placer.Line[*Request]{},
 		tokenTime: startTokenTime,
-		interval:  startInterval,
 		random:    random,
 	}
 	for _, option := range options {
@@ -111,7 +108,7 @@
 		return []Decision{{Request: r, Refusal: refusal}}
 	}
 	a.accounts[r.Account.Name()]++
-	a.enqueue(r)
+	a.enqueue(r, now)
 	return a.Tick(now)
 }
 
@@ -136,10 +133,6 @@
 	a.restSum += r.rest
 	c.Load.Start(r.ID, d, now)
 	a.active[r.ID] = r
-	if !a.started.IsZero() {
-		a.interval = smooth(a.interval, min(now.Sub(a.started), time.Second))
-	}
-	a.started = now
 	a.starts++
 	return Decision{Request: r, Target: c.Target}
 }
@@ -201,11 +194,12 @@
 		a.leave(r, now)
 		return a.Tick(now)
 	}
-	for i, r := range a.queue {
-		if r.ID == id {
-			a.queue = append(a.queue[:i], a.queue[i+1:]...)
-			a.release(r)
-			break
+	for _, line := range a.lines {
+		for _, w := range line.Order(a.since(now)) {
+			if w.Value.ID == id && line.Remove(w) {
+				a.release(w.Value)
+				return nil
+			}
 		}
 	}
 	return nil
@@ -227,7 +221,13 @@
 }
 
 // Waiting returns how many requests wait.
-func (a *Admitter) Waiting() int { return len(a.queue) }
+func (a *Admitter) Waiting() int {
+	n := 0
+	for _, line := range a.lines {
+		n += line.Len()
+	}
+	return n
+}
 
 // Active returns how many generations run.
 func (a *Admitter) Active() int { return len(a.active) }
--- a/request/admitter/limits.go
+++ b/request/admitter/limits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bluebelldoor"
+	"bluebelldoor/request/placer"
 	"bluebelldoor/request/router"
 )
 
@@ -24,9 +25,9 @@
 	if refusal := a.open(r, now); refusal != nil {
 		return refusal
 	}
-	if longest := a.document.Limits().QueueLength; len(a.queue) >= longest && longest > 0 {
-		return bluebelldoor.Refuse(bluebelldoor.QueueFull, fmt.Sprintf("%d requests wait", len(a.queue))).
-			WithRetryAfter(retryAfter(a.wait(len(a.queue))))
+	if longest, waiting := a.document.Limits().QueueLength, a.Waiting(); waiting >= longest && longest > 0 {
+		return bluebelldoor.Refuse(bluebelldoor.QueueFull, fmt.Sprintf("%d requests wait", waiting)).
+			WithRetryAfter(placer.ComeBack(r.Deadline.Sub(now), objective, a.share))
 	}
 	return a.onTime(r, now)
 }
@@ -65,23 +66,17 @@
 	}
 }
 
-// onTime refuses a request whose deadline can't be met.
+// onTime refuses a request that can't end by its deadline.
 func (a *Admitter) onTime(r *Request, now time.Time) *bluebelldoor.Refusal {
-	wait := a.wait(a.ahead(r))
 	runs := a.runs(r)
-	if late := now.Add(wait).Add(runs).Sub(r.Deadline); late > 0 {
+	if late := now.Add(runs).Sub(r.Deadline); late > 0 {
 		return bluebelldoor.Refuse(bluebelldoor.DeadlineTooNear,
-			fmt.Sprintf("expected wait %s and run %s end %s after the deadline",
-				wait.Round(time.Millisecond), runs.Round(time.Millisecond), late.Round(time.Millisecond))).
-			WithRetryAfter(retryAfter(max(wait, late)))
+			fmt.Sprintf("an expected run of %s ends %s after the deadline", runs.Round(time.Millisecond), late.Round(time.Millisecond))).
+			WithRetryAfter(max(late, minRetryAfter))
 	}
 	return nil
 }
 
-func retryAfter(d time.Duration) time.Duration {
-	return min(max(d, minRetryAfter), maxRetryAfter)
-}
-
 // accountLimit returns the part of an account's limit that this VM grants. No
 // state is shared: the account is spread over a known number of VMs, and each
 // of them grants an equal part.
--- a/request/admitter/queue.go
+++ b/request/admitter/queue.go
@@ -2,110 +2,124 @@
 
 import (
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"bluebelldoor"
+	"bluebelldoor/request/placer"
 )
 
-// before orders the queue by class, then by deadline.
-func before(x, y *Request) bool {
-	if x.Class.Priority() != y.Class.Priority() {
-		return x.Class.Priority() < y.Class.Priority()
+// since returns a time as the line counts it: from the first that it was told.
+func (a *Admitter) since(t time.Time) time.Duration {
+	if a.epoch.IsZero() {
+		a.epoch = t
 	}
-	return x.Deadline.Before(y.Deadline)
+	return t.Sub(a.epoch)
 }
 
-func (a *Admitter) enqueue(r *Request) {
-	i := a.ahead(r)
-	a.queue = append(a.queue, nil)
-	copy(a.queue[i+1:], a.queue[i:])
-	a.queue[i] = r
-}
-
-// ahead returns how many waiting requests go before r.
-func (a *Admitter) ahead(r *Request) int {
-	return sort.Search(len(a.queue), func(i int) bool { return before(r, a.queue[i]) })
-}
-
-// wait estimates how long a request with so many others ahead waits.
-func (a *Admitter) wait(ahead int) time.Duration {
-	return time.Duration(ahead) * a.interval
+// enqueue puts a request in the line of its model.
+func (a *Admitter) enqueue(r *Request, now time.Time) {
+	at := a.since(now)
+	w := &placer.Waiting[*Request]{
+		Value:    r,
+		Priority: r.Class.Priority(),
+		Turn:     a.since(r.Deadline),
+		InTime:   at + placer.InTime(objective, r.Prompt),
+		Latest:   min(at+placer.WaitTime(objective, r.Prompt), a.since(r.Deadline)-a.runs(r)),
+		Long:     a.demand(r).Need >= placer.LongTokens,
+	}
+	if a.naive {
+		w.InTime, w.Latest = a.since(r.Deadline), a.since(r.Deadline)
+	}
+	line := a.lines[r.Model]
+	if line == nil {
+		line = &placer.Line[*Request]{}
+		a.lines[r.Model] = line
+	}
+	line.Add(w)
 }
 
-// Tick starts what may start now, and refuses what can no longer be on time.
+// Tick starts what may start now, and refuses what has waited for as long as it
+// could start in time.
 func (a *Admitter) Tick(now time.Time) []Decision {
 	var out []Decision
-	a.promote(now)
-	waiting := a.queue[:0]
-	passed := map[string]int{}
-	for _, r := range a.queue {
-		if refusal := a.tooLate(r, now); refusal != nil {
-			out = append(out, a.refuse(r, refusal))
-			continue
-		}
-		if passed[r.Model] > mayPass {
-			waiting = append(waiting, r)
-			continue
-		}
-		c := a.chooser.Choose(a.table, r.Model, a.demand(r), now, a.random())
-		if c != nil {
+	at := a.since(now)
+	for _, model := range slices.Sorted(maps.Keys(a.lines)) {
+		line := a.lines[model]
+		out = append(out, a.startUrgent(line, now)...)
+		line.Send(at, func(r *Request) placer.Room {
+			c := a.chooser.Choose(a.table, r.Model, a.demand(r), now, a.random())
+			if c == nil {
+				return placer.NoMemory
+			}
 			out = append(out, a.start(r, c, now))
-			continue
+			return placer.HasRoom
+		})
+		for _, w := range line.Overdue(at) {
+			out = append(out, a.refuse(w.Value, a.overdue(w.Value, now)))
 		}
-		waiting = append(waiting, r)
-		passed[r.Model]++
-		if r.waited(now) > passedFor {
-			passed[r.Model] = mayPass + 1
+		if line.Len() == 0 {
+			delete(a.lines, model)
 		}
 	}
-	a.queue = waiting
 	return out
 }
 
-// tooLate refuses a waiting request that would not end in time if it started
-// now.
-func (a *Admitter) tooLate(r *Request, now time.Time) *bluebelldoor.Refusal {
-	if !now.Before(r.Deadline) {
-		return bluebelldoor.Refuse(bluebelldoor.DeadlinePassed, "the deadline passed in the queue").WithRetryAfter(minRetryAfter)
+// startUrgent starts the one with the nearest deadline among the requests that
+// have used half of their time, before every class, once in a number of starts.
+func (a *Admitter) startUrgent(line *placer.Line[*Request], now time.Time) []Decision {
+	if a.starts < urgentEvery {
+		return nil
+	}
+	var best *placer.Waiting[*Request]
+	for _, w := range line.Order(a.since(now)) {
+		if w.Value.used(now) > urgentAfter && (best == nil || w.Turn < best.Turn) {
+			best = w
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	r := best.Value
+	c := a.chooser.Choose(a.table, r.Model, a.demand(r), now, a.random())
+	if c == nil {
+		return nil
 	}
-	runs := a.runs(r)
-	if late := now.Add(runs).Sub(r.Deadline); late > 0 && !a.naive {
+	line.Remove(best)
+	d := a.start(r, c, now)
+	a.starts = 0
+	return []Decision{d}
+}
+
+// overdue refuses a request that has waited for as long as it may.
+func (a *Admitter) overdue(r *Request, now time.Time) *bluebelldoor.Refusal {
+	left := r.Deadline.Sub(now)
+	back := placer.ComeBack(left, objective, a.share)
+	if left <= 0 {
+		return bluebelldoor.Refuse(bluebelldoor.DeadlinePassed, "the deadline passed in the queue").WithRetryAfter(back)
+	}
+	if runs := a.runs(r); runs > left {
 		return bluebelldoor.Refuse(bluebelldoor.DeadlineTooNear,
-			fmt.Sprintf("after %s in the queue, a run of %s would end %s after the deadline",
-				now.Sub(r.Arrived).Round(time.Millisecond), runs.Round(time.Millisecond), late.Round(time.Millisecond))).
-			WithRetryAfter(retryAfter(a.wait(len(a.queue))))
+			fmt.Sprintf("a run of %s would end %s after the deadline",
+				runs.Round(time.Millisecond), (runs-left).Round(time.Millisecond))).WithRetryAfter(back)
 	}
-	return nil
+	return bluebelldoor.Refuse(bluebelldoor.EnginesCrowded,
+		fmt.Sprintf("no engine had room within %s, %d others wait", now.Sub(r.Arrived).Round(time.Millisecond), a.Waiting())).
+		WithRetryAfter(back)
 }
 
+// share draws a number from 0 to 1.
+func (a *Admitter) share() float64 { return float64(a.random()>>11) / (1 << 53) }
+
 // runs estimates how long a request runs at its target.
 func (a *Admitter) runs(r *Request) time.Duration {
 	return time.Duration(a.estimator.Remaining(a.key(r), 0, r.MaxTokens)) * a.tokenTime
 }
 
-// promote moves the one with the nearest deadline among the requests that
-// waited for half of their time to the front, once in a number of starts.
-func (a *Admitter) promote(now time.Time) {
-	if a.starts < urgentEvery {
-		return
-	}
-	best := -1
-	for i, r := range a.queue {
-		if r.waited(now) > urgentAfter && (best < 0 || r.Deadline.Before(a.queue[best].Deadline)) {
-			best = i
-		}
-	}
-	if best < 0 {
-		return
-	}
-	a.starts = 0
-	r := a.queue[best]
-	copy(a.queue[1:best+1], a.queue[:best])
-	a.queue[0] = r
-}
-
-// waited returns the share of its time that a request has waited.
-func (r *Request) waited(now time.Time) float64 {
-	return float64(now.Sub(r.Arrived)) / float64(max(r.Deadline.Sub(r.Arrived), 1))
+// used returns the share of its class's time that a request has used. Callers
+// that come back bring the deadline of their first try.
+func (r *Request) used(now time.Time) float64 {
+	whole := max(r.Class.DefaultWithin(), r.Deadline.Sub(r.Arrived), 1)
+	return 1 - float64(r.Deadline.Sub(now))/float64(whole)
 }
--- a/request/placer/line.go
+++ b/request/placer/line.go
@@ -11,7 +11,9 @@
 	Value T
 	// Priority is its rank; 0 goes first.
 	Priority int
-	Arrived  time.Duration
+	// Turn orders those of one rank; the lowest goes first. It is the arrival, or
+	// the deadline where callers set one.
+	Turn time.Duration
 	// InTime is until when it must be sent to begin within its objective.
 	InTime time.Duration
 	// Latest is until when it must be sent to be of any use.
@@ -24,7 +26,7 @@
 
 // Line orders the generations that wait on a VM: those that can still begin in
 // time go before those that are late, for whom a moment more matters less;
-// then by priority, then by arrival. A first-in first-out queue makes all
+// then by priority, then by turn. A first-in first-out queue makes all
 // late for as long as an overload and the backlog that it leaves last. Latest
 // bounds how long one that is late is passed by. It is not safe for concurrent
 // use.
@@ -86,7 +88,7 @@
 func (l *Line[T]) Order(now time.Duration) []*Waiting[T] {
 	order := slices.Clone(l.waiting)
 	slices.SortStableFunc(order, func(a, b *Waiting[T]) int {
-		return cmp.Or(before(!a.late(now), !b.late(now)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Arrived, b.Arrived))
+		return cmp.Or(before(!a.late(now), !b.late(now)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Turn, b.Turn))
 	})
 	return order
 }
--- a/request/placer/room.go
+++ b/request/placer/room.go
@@ -19,6 +19,16 @@
 	// neededShare is the part that long generations together may come to need.
 	// They end at different times, so not all of it is needed at once.
 	neededShare = 1.5
+	// LongTokens is how many expected tokens make a generation that holds its
+	// memory for seconds; shorter ones make room again soon.
+	LongTokens = 150
+	// soonestReturn and latestReturn are when callers that were refused come
+	// back: when most of the generations that run now have ended, and spread
+	// so that they do not come at once.
+	soonestReturn = 8 * time.Second
+	latestReturn  = 13 * time.Second
+	// returnPart is the part of the time left that callers wait at most.
+	returnPart = 1.0 / 3
 )
 
 // Room tells whether a target has room for a generation.
@@ -100,3 +110,15 @@
 func WaitTime(objective time.Duration, prompt int) time.Duration {
 	return max(0, time.Duration(waitShare*float64(InTime(objective, prompt))))
 }
+
+// ComeBack returns when a caller that is refused for want of room, and has so
+// much time left, may come back: in time for another try that begins within the
+// objective. One that has not the time for that is told when engines have room.
+// random returns numbers from 0 to 1.
+func ComeBack(left, objective time.Duration, random func() float64) time.Duration {
+	d := soonestReturn + time.Duration(random()*float64(latestReturn-soonestReturn))
+	if sooner := time.Duration(float64(left) * returnPart); left-sooner > objective {
+		d = min(d, sooner)
+	}
+	return d
+}
--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -11,19 +11,6 @@
 )
 
 const (
-	// soonestReturn and latestReturn are when callers that were refused come
-	// back: when most of the generations that run now have ended, and spread
-	// so that they do not come at once.
-	soonestReturn = 8 * time.Second
-	latestReturn  = 13 * time.Second
-	// returnPart is the part of the time left that callers wait at most.
-	returnPart = 1.0 / 3
-	// patience is how many objectives callers wait for the first event: with less
-	// time than that another try is of no use.
-	patience = 3
-	// longTokens is how many expected tokens make a generation that holds its
-	// memory for seconds; shorter ones make room again soon.
-	longTokens = 150
 	// roomPoll is how often room is looked for while generations wait: short
 	// beside the tenth of a second that an engine takes to read a prompt.
 	roomPoll = 10 * time.Millisecond
@@ -54,7 +41,7 @@
 }
 
 // long reports whether the generation holds its memory for seconds.
-func (j *job) long() bool { return j.expected() >= longTokens }
+func (j *job) long() bool { return j.expected() >= placer.LongTokens }
 
 // wait puts the generation in the line and returns what it gets.
 func (j *job) wait() (*registrar.Target, *placer.Reservation, *bluebelldoor.Refusal) {
@@ -80,7 +67,7 @@
 	w := &placer.Waiting[*waiter]{
 		Value:    &waiter{job: j, placed: make(chan placement, 1)},
 		Priority: j.priority,
-		Arrived:  j.firstArrived(),
+		Turn:     j.firstArrived(),
 		Long:     j.long(),
 	}
 	j.mu.Lock()
@@ -88,7 +75,7 @@
 	w.Latest = j.latest()
 	w.InTime = w.Latest
 	if objective := j.route.Objective; objective > 0 {
-		w.InTime = w.Arrived + placer.InTime(objective, j.request.PromptTokens)
+		w.InTime = w.Turn + placer.InTime(objective, j.request.PromptTokens)
 	}
 	line := j.lines[j.name]
 	if line == nil {
@@ -114,7 +101,7 @@
 func (j *job) latest() time.Duration {
 	latest := j.arrived + forgetAfter
 	if j.deadline > 0 {
-		latest = j.deadline - time.Duration(min(j.expected(), longTokens))*tokenTime - placer.ReadTime(j.request.PromptTokens)
+		latest = j.deadline - time.Duration(min(j.expected(), placer.LongTokens))*tokenTime - placer.ReadTime(j.request.PromptTokens)
 	}
 	if objective := j.route.Objective; objective > 0 {
 		latest = min(latest, j.arrived+placer.WaitTime(objective, j.request.PromptTokens))
@@ -231,12 +218,7 @@
 	return placer.HasRoom
 }
 
-// comeLater returns when a refused caller may come back. One that has not the
-// time for another try is told when engines have room, not sooner.
+// comeLater returns when a refused caller may come back.
 func (j *job) comeLater() time.Duration {
-	d := soonestReturn + time.Duration(rand.Int64N(int64(latestReturn-soonestReturn)))
-	if sooner := time.Duration(float64(j.left()) * returnPart); j.left()-sooner > patience*j.route.Objective {
-		d = min(d, sooner)
-	}
-	return d
+	return placer.ComeBack(j.left(), j.route.Objective, rand.Float64)
 }
--- a/standin/rater/decider.go
+++ b/standin/rater/decider.go
@@ -15,6 +15,8 @@
 	job     *job
 	engine  *engineState
 	refused bool
+	// back is when a refused caller is told to come back, 0 for not at all.
+	back time.Duration
 }
 
 // decider decides for one VM. What ends may let others start.
@@ -57,6 +59,9 @@
 	var out []decision
 	for _, d := range in {
 		next := decision{job: a.bench.jobs[d.Request.ID], refused: d.Refusal != nil}
+		if d.Refusal != nil {
+			next.back = d.Refusal.RetryAfter()
+		}
 		if d.Target != nil {
 			next.engine = a.bench.engine(d.Target.Name())
 		}
@@ -66,6 +71,7 @@
 }
 
 func (a *admitting) arrive(j *job) []decision {
+	j.request.Arrived = a.bench.clock()
 	return a.decisions(a.admitter.Arrive(j.request, a.bench.clock()))
 }
 
--- a/standin/rater/rater.go
+++ b/standin/rater/rater.go
@@ -20,6 +20,9 @@
 	idleStep    = 2 * time.Millisecond
 	warmUp      = 20 * time.Second
 	retryGiven  = 1
+	// returnPart is the part of their time after which callers that were refused
+	// come back at the latest.
+	returnPart = 3
 )
 
 var dataCentres = []string{"north", "middle", "south"}
@@ -249,6 +252,9 @@
 func (b *bench) decide(decisions []decision) {
 	for _, d := range decisions {
 		j := d.job
+		if d.refused && b.comesBack(j, d.back) {
+			continue
+		}
 		if d.refused {
 			delete(b.jobs, j.request.ID)
 			j.result.refused = true
@@ -264,6 +270,22 @@
 	}
 }
 
+// comesBack lets a caller that was refused come back when it was told to, but
+// after a returnPart of its time at the latest, and reports whether it does.
+func (b *bench) comesBack(j *job, after time.Duration) bool {
+	left := j.arrived + j.kind.Within - b.now
+	after = min(after, left/returnPart)
+	if after <= 0 || left-after < objective {
+		return false
+	}
+	b.at(b.now+after, func() {
+		if b.jobs[j.request.ID] == j {
+			b.decide(j.vm.arrive(j))
+		}
+	})
+	return true
+}
+
 // refresh gives a VM the newest of what it is told, which lags.
 func (b *bench) refresh(v *vm) {
 	v.refresh()
--- a/standin/rater/relay.go
+++ b/standin/rater/relay.go
@@ -14,10 +14,13 @@
 	objective = 1500 * time.Millisecond
 	// hintSigma spreads what callers expect around what comes.
 	hintSigma = 0.9
+	// comeBack is when callers that were refused are told to come back, half of
+	// it later at the most.
+	comeBack = 8 * time.Second
 	// toldAfter is how long peers take to hear of a placement.
 	toldAfter = time.Millisecond
-	// longHint is the length from which a generation counts as long.
-	longHint = 150
+	// tokenTime is how long an engine takes for a token at most.
+	tokenTime = 20 * time.Millisecond
 )
 
 // hint draws what the caller expects of a generation's length.
@@ -67,26 +70,33 @@
 }
 
 func (r *relaying) arrive(j *job) []decision {
-	arrived := j.arrived
 	r.line.Add(&placer.Waiting[*job]{
-		Value: j, Priority: j.request.Class.Priority(), Arrived: arrived,
-		InTime: arrived + placer.InTime(objective, j.kind.Prompt), Latest: arrived + j.kind.Within,
-		Long: j.hint >= longHint,
+		Value: j, Priority: j.request.Class.Priority(), Turn: j.arrived,
+		InTime: j.arrived + placer.InTime(objective, j.kind.Prompt),
+		Latest: min(r.bench.now+placer.WaitTime(objective, j.kind.Prompt), j.arrived+j.kind.Within-runTime(j.hint)),
+		Long:   j.hint >= placer.LongTokens,
 	})
 	return r.tick()
 }
 
+// runTime is how long a generation takes at the least, as it is taken into
+// account where deadlines are near.
+func runTime(tokens int) time.Duration {
+	return time.Duration(min(tokens, placer.LongTokens)) * tokenTime
+}
+
 // tick sends generations from the line to engines that have room.
 func (r *relaying) tick() []decision {
 	var out []decision
 	now := r.bench.now
 	for _, w := range r.line.Overdue(now) {
-		out = append(out, decision{job: w.Value, refused: true})
+		back := comeBack + time.Duration(r.bench.hints.Int64N(int64(comeBack/2)))
+		out = append(out, decision{job: w.Value, refused: true, back: back})
 	}
 	engines, candidates := r.candidates(nil)
 	r.line.Send(now, func(j *job) placer.Room {
 		d := r.demand(j)
-		d.Limits = placer.NewLimits(j.hint < longHint)
+		d.Limits = placer.NewLimits(j.hint < placer.LongTokens)
 		choice := r.ledger.Pick(candidates, d, now, r.bench.random.Float64)
 		if choice.Index < 0 {
 			return max(choice.Lacks, placer.NoReading)
