Let calls stay near while runners have places

Cause: on variants of the sites with 12 ms between data centres and 25 ms to callers, 44 and 49 % of the calls ended within their 150 ms. A runner near by with one of six places taken cost 0.33, one in another data centre 0.15: work went away although nothing waited near by.

Ruled out: queues at the runners (one place in use on average).

A runner costs little up to half of its places, then steeply. TestPick: red before in "a runner near by that has work".

--- a/request/placer/load_test.go
+++ b/request/placer/load_test.go
@@ -417,6 +417,39 @@
 			placer.Demand{Tokens: 3000, Engine: kind, DataCentre: "x"},
 			0,
 		},
+		"a runner near by that has work": {
+			placer.Candidate{Instance: instance("a", "x")},
+			placer.Candidate{Instance: instance("b", "y")},
+			func(l *placer.Ledger) {
+				for range 12 { // half of its places
+					l.Start("a", 0, 0)
+				}
+			},
+			placer.Demand{DataCentre: "x"},
+			0,
+		},
+		"a runner near by that is nearly full": {
+			placer.Candidate{Instance: instance("a", "x")},
+			placer.Candidate{Instance: instance("b", "y")},
+			func(l *placer.Ledger) {
+				for range 18 {
+					l.Start("a", 0, 0)
+				}
+			},
+			placer.Demand{DataCentre: "x"},
+			1,
+		},
+		"the runner with less work": {
+			placer.Candidate{Instance: instance("a", "x")},
+			placer.Candidate{Instance: instance("b", "x")},
+			func(l *placer.Ledger) {
+				for range 12 {
+					l.Start("a", 0, 0)
+				}
+			},
+			placer.Demand{DataCentre: "x"},
+			1,
+		},
 		"a lapsed entry": {
 			placer.Candidate{Instance: instance("a", "x"), Lapsed: true},
 			placer.Candidate{Instance: instance("b", "x")},
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -34,6 +34,11 @@
 	targetStallCost = 0.3
 	awayStallCost   = 0.1
 	maxStallCost    = 2
+	// runnerCost weighs an application runner all of whose places are taken,
+	// crowdedCost what is taken beyond crowdedShare of them.
+	runnerCost   = 0.2
+	crowdedCost  = 4
+	crowdedShare = 0.5
 	// overCost weighs generations that together may come to need twice a
 	// target's memory. They need it only if they are long at the same time.
 	overCost = 30
@@ -157,8 +162,7 @@
 	}
 	full := false
 	if slots := places(c, d); slots > 0 {
-		share := float64(sum.requests) / float64(slots)
-		cost += 2 * share
+		cost += placesCost(float64(sum.requests)/float64(slots), d.Engine != nil)
 		full = sum.requests >= slots
 	}
 	if d.Engine != nil && d.Tokens > 0 {
@@ -179,6 +183,16 @@
 	return cost, full
 }
 
+// placesCost weighs the part of a target's places that are taken. An engine gets
+// slower with each generation; an application runner does so when it is nearly
+// full, and the way to another data centre is longer than that before.
+func placesCost(share float64, engine bool) float64 {
+	if engine {
+		return 2 * share
+	}
+	return runnerCost*share + crowdedCost*max(0, share-crowdedShare)
+}
+
 // places returns how many requests a target runs at once, 0 if that is not
 // known.
 func places(c Candidate, d Demand) int {
