Rater tests: hold the relay's core to the bounds too

The users run that core, and only the own interface's was held to TestBounds and TestBoundsBeyondCapacity. Both hold them now. No check is changed.

--- a/standin/rater/rater_test.go
+++ b/standin/rater/rater_test.go
@@ -18,7 +18,7 @@
 	out := map[rater.Policy]*rater.Table{}
 	var mu sync.Mutex
 	var group sync.WaitGroup
-	policies := []rater.Policy{rater.Own, rater.RoundRobin, rater.LeastOutstanding}
+	policies := []rater.Policy{rater.Own, rater.Relay, rater.RoundRobin, rater.LeastOutstanding}
 	for _, p := range policies {
 		out[p] = &rater.Table{}
 	}
@@ -39,37 +39,49 @@
 // boundSeeds are seeds that no choice was tuned on.
 var boundSeeds = []uint64{31, 32}
 
-// TestBounds holds the decisions to stated targets: stall time and preemptions
-// never worse than the better baseline, preemptions under a tenth of round
-// robin's up to nine tenths of capacity, and goodput within a tenth of the
-// better baseline's.
-func TestBounds(t *testing.T) {
-	if testing.Short() {
-		t.Skip("takes a minute")
-	}
+// eachCell measures all policies for each workload, load and fault, with seeds
+// that no choice was tuned on.
+func eachCell(t *testing.T, check func(t *testing.T, w rater.Workload, f rater.Fault, load float64, all map[rater.Policy]*rater.Table)) {
+	t.Helper()
 	for _, w := range []rater.Workload{rater.Instituto(), rater.Backupolo()} {
 		capacity := w.Capacity()
 		for _, load := range []float64{0.9, 1.1} {
 			for _, f := range []rater.Fault{rater.Calm, rater.EngineLost, rater.EngineCold, rater.DataCentres} {
 				t.Run(fmt.Sprintf("%s %s %.1f", w.Name, f, load), func(t *testing.T) {
 					all := measureAll(w, capacity, f, load, boundSeeds...)
-					own, least, robin := all[rater.Own], all[rater.LeastOutstanding], all[rater.RoundRobin]
-					if f == rater.Calm && load < 1 {
-						assert.Check(t, own.Preemptions() < robin.Preemptions()/10, "preemptions %.1f, round robin %.1f", own.Preemptions(), robin.Preemptions())
-					}
-					// Least outstanding sends everything to a lost engine, which
-					// answers nothing: the rest of the engines idle.
-					if f != rater.EngineLost {
-						assert.Check(t, own.StallP99() <= min(least.StallP99(), robin.StallP99()), "stall p99 %s, baselines %s and %s", own.StallP99(), least.StallP99(), robin.StallP99())
-						assert.Check(t, own.Preemptions() <= min(least.Preemptions(), robin.Preemptions()))
-					}
-					assert.Check(t, own.Goodput() >= 9*max(least.Goodput(), robin.Goodput())/10)
+					check(t, w, f, load, all)
 				})
 			}
 		}
 	}
 }
 
+// TestBounds holds the decisions to stated targets: stall time and preemptions
+// never worse than the better baseline, preemptions under a tenth of round
+// robin's up to nine tenths of capacity, and goodput within a tenth of the
+// better baseline's.
+func TestBounds(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes a minute")
+	}
+	eachCell(t, func(t *testing.T, _ rater.Workload, f rater.Fault, load float64, all map[rater.Policy]*rater.Table) {
+		least, robin := all[rater.LeastOutstanding], all[rater.RoundRobin]
+		for _, policy := range []rater.Policy{rater.Own, rater.Relay} {
+			got := all[policy]
+			if f == rater.Calm && load < 1 {
+				assert.Check(t, got.Preemptions() < robin.Preemptions()/10, "%s: preemptions %.1f, round robin %.1f", policy, got.Preemptions(), robin.Preemptions())
+			}
+			// Least outstanding sends everything to a lost engine, which
+			// answers nothing: the rest of the engines idle.
+			if f != rater.EngineLost {
+				assert.Check(t, got.StallP99() <= min(least.StallP99(), robin.StallP99()), "%s: stall p99 %s, baselines %s and %s", policy, got.StallP99(), least.StallP99(), robin.StallP99())
+				assert.Check(t, got.Preemptions() <= min(least.Preemptions(), robin.Preemptions()), "%s: preemptions %.1f", policy, got.Preemptions())
+			}
+			assert.Check(t, got.Goodput() >= 9*max(least.Goodput(), robin.Goodput())/10, "%s: goodput %d", policy, got.Goodput())
+		}
+	})
+}
+
 // TestBoundsBeyondCapacity wants no less goodput at 1.1 of capacity than at 0.9.
 func TestBoundsBeyondCapacity(t *testing.T) {
 	if testing.Short() {
@@ -77,9 +89,12 @@
 	}
 	for _, w := range []rater.Workload{rater.Instituto(), rater.Backupolo()} {
 		capacity := w.Capacity()
-		below := measureAll(w, capacity, rater.Calm, 0.9, boundSeeds...)[rater.Own].Goodput()
-		beyond := measureAll(w, capacity, rater.Calm, 1.1, boundSeeds...)[rater.Own].Goodput()
-		assert.Check(t, beyond >= below, "%s: goodput falls from %d to %d", w.Name, below, beyond)
+		below := measureAll(w, capacity, rater.Calm, 0.9, boundSeeds...)
+		beyond := measureAll(w, capacity, rater.Calm, 1.1, boundSeeds...)
+		for _, policy := range []rater.Policy{rater.Own, rater.Relay} {
+			assert.Check(t, beyond[policy].Goodput() >= below[policy].Goodput(), "%s, %s: goodput falls from %d to %d",
+				w.Name, policy, below[policy].Goodput(), beyond[policy].Goodput())
+		}
 	}
 }
 
@@ -90,25 +105,17 @@
 	if testing.Short() {
 		t.Skip("takes a minute")
 	}
-	for _, w := range []rater.Workload{rater.Instituto(), rater.Backupolo()} {
-		capacity := w.Capacity()
-		for _, load := range []float64{0.9, 1.1} {
-			for _, f := range []rater.Fault{rater.Calm, rater.EngineLost, rater.EngineCold, rater.DataCentres} {
-				t.Run(fmt.Sprintf("%s %s %.1f", w.Name, f, load), func(t *testing.T) {
-					all := measureAll(w, capacity, f, load, boundSeeds...)
-					own, least, robin := all[rater.Own], all[rater.LeastOutstanding], all[rater.RoundRobin]
-					for _, k := range w.Kinds {
-						best := max(least.Whole(k.Class), robin.Whole(k.Class))
-						assert.Check(t, own.Whole(k.Class) >= best, "%s whole %.3f, best baseline %.3f", k.Class, own.Whole(k.Class), best)
-					}
-					assert.Check(t, own.FirstP95() <= min(least.FirstP95(), robin.FirstP95()), "first token p95")
-					assert.Check(t, own.StallP99() <= min(least.StallP99(), robin.StallP99()), "stall p99")
-					assert.Check(t, own.Preemptions() <= min(least.Preemptions(), robin.Preemptions()), "preemptions")
-					assert.Check(t, own.Goodput() >= max(least.Goodput(), robin.Goodput()), "goodput")
-				})
-			}
+	eachCell(t, func(t *testing.T, w rater.Workload, _ rater.Fault, _ float64, all map[rater.Policy]*rater.Table) {
+		own, least, robin := all[rater.Own], all[rater.LeastOutstanding], all[rater.RoundRobin]
+		for _, k := range w.Kinds {
+			best := max(least.Whole(k.Class), robin.Whole(k.Class))
+			assert.Check(t, own.Whole(k.Class) >= best, "%s whole %.3f, best baseline %.3f", k.Class, own.Whole(k.Class), best)
 		}
-	}
+		assert.Check(t, own.FirstP95() <= min(least.FirstP95(), robin.FirstP95()), "first token p95")
+		assert.Check(t, own.StallP99() <= min(least.StallP99(), robin.StallP99()), "stall p99")
+		assert.Check(t, own.Preemptions() <= min(least.Preemptions(), robin.Preemptions()), "preemptions")
+		assert.Check(t, own.Goodput() >= max(least.Goodput(), robin.Goodput()), "goodput")
+	})
 }
 
 // TestRepeatable wants the same table from the same seed.
