--- a/request/placer/sustained_test.go
+++ b/request/placer/sustained_test.go
@@ -87,11 +87,14 @@
 // sustained is what sustain has seen, as shares of the callers.
 type sustained struct{ inTime, checksInTime float64 }
 
-// sustain plays 40 s of reports and checks, 4 of each 10 s at a peak of callers a
-// second, the rest at a quarter of it.
-func sustain(r *returning, peak float64) sustained {
+// sustainedPeak is about twice what the engines bear, in callers a second.
+const sustainedPeak = 80
+
+// sustain plays 40 s of reports and checks, 4 of each 10 s at the peak, the rest
+// at a quarter of it.
+func (r *returning) sustain() sustained {
 	callers, checks := 0, 0
-	for now := time.Duration(0); now < 40*time.Second; now += time.Duration(r.random.ExpFloat64() / peak * float64(time.Second)) {
+	for now := time.Duration(0); now < 40*time.Second; now += time.Duration(r.random.ExpFloat64() / sustainedPeak * float64(time.Second)) {
 		if now%(10*time.Second) > 4*time.Second && r.random.IntN(4) > 0 {
 			continue
 		}
@@ -110,9 +113,6 @@
 	}
 }
 
-// sustainedPeak is about twice what the engines bear, in callers a second.
-const sustainedPeak = 80
-
 func newReturning(seed uint64) *returning {
 	return &returning{fleet: newFleet(seed, 12, time.Millisecond), wait: placer.WaitTime, limits: placer.NewLimits}
 }
@@ -122,10 +122,10 @@
 // late takes the room of one that is not.
 func TestSustained(t *testing.T) {
 	for seed := range uint64(3) {
-		got := sustain(newReturning(seed), sustainedPeak)
+		got := newReturning(seed).sustain()
 		patient := newReturning(seed)
 		patient.wait = func(objective time.Duration, _ int) time.Duration { return 3 * objective }
-		other := sustain(patient, sustainedPeak)
+		other := patient.sustain()
 		assert.Check(t, got.inTime > other.inTime, "seed %d: %.3f in time, with callers that wait three objectives %.3f", seed, got.inTime, other.inTime)
 	}
 }
@@ -135,14 +135,14 @@
 // some of it.
 func TestUrgent(t *testing.T) {
 	for seed := range uint64(3) {
-		got := sustain(newReturning(seed), sustainedPeak)
+		got := newReturning(seed).sustain()
 		filling := newReturning(seed)
 		filling.limits = func(short bool) *placer.Limits {
 			limits := placer.NewLimits(short)
 			limits.Held = placer.NewLimits(true).Held
 			return limits
 		}
-		other := sustain(filling, sustainedPeak)
+		other := filling.sustain()
 		t.Logf("seed %d: %v, filling %v", seed, got, other)
 		assert.Check(t, got.checksInTime > other.checksInTime, "seed %d: %.3f of the checks in time, with reports that fill the memory %.3f", seed, got.checksInTime, other.checksInTime)
 	}
