Leave memory only to generations that go first

A long generation of the first rank fills memory as short ones do. On the users' routes long ones are of the second rank, so nothing changes there. TestRoom: "left to short ones".

--- a/request/placer/room.go
+++ b/request/placer/room.go
@@ -16,8 +16,8 @@
 	// heldShare is the part of an engine's memory that may be in use when it
 	// gets a generation. Above it the next tokens push one out.
 	heldShare = 0.9
-	// longHeldShare is the same for a long generation: the rest is for short
-	// ones, which are urgent and need it for a moment only.
+	// longHeldShare is the same for a long generation of a lower rank: the rest
+	// is for short ones, which need it for a moment only.
 	longHeldShare = 0.8
 	// neededShare is the part that long generations together may come to need.
 	// They end at different times, so not all of it is needed at once.
@@ -61,12 +61,14 @@
 }
 
 // NewLimits returns those of a new generation. What a short one will come to
-// need it needs for a moment only.
-func NewLimits(short bool) *Limits {
+// need it needs for a moment only. A long one leaves memory to short ones that
+// go before it, unless it is of the first rank.
+func NewLimits(short bool, priority int) *Limits {
 	limits := &Limits{Prompts: ReadRate * queueTime.Seconds(), Held: heldShare, Needed: neededShare}
-	if short {
+	switch {
+	case short:
 		limits.Needed = 0
-	} else {
+	case priority > 0:
 		limits.Held = longHeldShare
 	}
 	return limits
--- a/request/placer/room_test.go
+++ b/request/placer/room_test.go
@@ -21,20 +21,21 @@
 	for name, c := range map[string]struct {
 		tokens, held, prefill int
 		slots, connections    int
-		long, short, copied   placer.Room
+		// first is for a long one of the first rank.
+		long, first, short, copied placer.Room
 	}{
-		"idle":                     {0, 0, 0, 24, 0, placer.HasRoom, placer.HasRoom, placer.HasRoom},
-		"half full":                {17000, 15000, 0, 24, 0, placer.HasRoom, placer.HasRoom, placer.HasRoom},
-		"prompts of half a second": {5000, 5000, 5000, 24, 0, placer.HasRoom, placer.HasRoom, placer.HasRoom},
-		"prompts of two seconds":   {20000, 20000, 20000, 24, 0, placer.NoReading, placer.NoReading, placer.HasRoom},
-		"will be full":             {48000, 20000, 0, 24, 0, placer.NoMemory, placer.HasRoom, placer.HasRoom},
-		"nearly full":              {32000, 28000, 0, 24, 0, placer.NoMemory, placer.HasRoom, placer.HasRoom},
-		"left to short ones":       {26000, 25000, 0, 24, 0, placer.NoMemory, placer.HasRoom, placer.HasRoom},
-		"full":                     {36000, 33000, 0, 24, 0, placer.NoMemory, placer.NoMemory, placer.NoMemory},
-		"no place":                 {3000, 3000, 0, 1, 0, placer.NoReading, placer.NoReading, placer.NoReading},
-		"no connection":            {3000, 3000, 0, 24, 1, placer.NoReading, placer.NoReading, placer.NoReading},
-		"connections only":         {3000, 3000, 0, 0, 1, placer.NoReading, placer.NoReading, placer.NoReading},
-		"one of two connections":   {3000, 3000, 0, 24, 2, placer.HasRoom, placer.HasRoom, placer.HasRoom},
+		"idle":                     {0, 0, 0, 24, 0, placer.HasRoom, placer.HasRoom, placer.HasRoom, placer.HasRoom},
+		"half full":                {17000, 15000, 0, 24, 0, placer.HasRoom, placer.HasRoom, placer.HasRoom, placer.HasRoom},
+		"prompts of half a second": {5000, 5000, 5000, 24, 0, placer.HasRoom, placer.HasRoom, placer.HasRoom, placer.HasRoom},
+		"prompts of two seconds":   {20000, 20000, 20000, 24, 0, placer.NoReading, placer.NoReading, placer.NoReading, placer.HasRoom},
+		"will be full":             {48000, 20000, 0, 24, 0, placer.NoMemory, placer.NoMemory, placer.HasRoom, placer.HasRoom},
+		"nearly full":              {32000, 28000, 0, 24, 0, placer.NoMemory, placer.NoMemory, placer.HasRoom, placer.HasRoom},
+		"left to short ones":       {26000, 25000, 0, 24, 0, placer.NoMemory, placer.HasRoom, placer.HasRoom, placer.HasRoom},
+		"full":                     {36000, 33000, 0, 24, 0, placer.NoMemory, placer.NoMemory, placer.NoMemory, placer.NoMemory},
+		"no place":                 {3000, 3000, 0, 1, 0, placer.NoReading, placer.NoReading, placer.NoReading, placer.NoReading},
+		"no connection":            {3000, 3000, 0, 24, 1, placer.NoReading, placer.NoReading, placer.NoReading, placer.NoReading},
+		"connections only":         {3000, 3000, 0, 0, 1, placer.NoReading, placer.NoReading, placer.NoReading, placer.NoReading},
+		"one of two connections":   {3000, 3000, 0, 24, 2, placer.HasRoom, placer.HasRoom, placer.HasRoom, placer.HasRoom},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := placer.NewLedger()
@@ -50,8 +51,9 @@
 				assert.Equal(t, got.Index < 0, got.Lacks != placer.HasRoom)
 				return got.Lacks
 			}
-			assert.Equal(t, room(long, placer.NewLimits(false)), c.long)
-			assert.Equal(t, room(short, placer.NewLimits(true)), c.short)
+			assert.Equal(t, room(long, placer.NewLimits(false, 1)), c.long)
+			assert.Equal(t, room(long, placer.NewLimits(false, 0)), c.first)
+			assert.Equal(t, room(short, placer.NewLimits(true, 0)), c.short)
 			copied := long
 			copied.Copied = true
 			assert.Equal(t, room(copied, placer.CopyLimits), c.copied)
@@ -66,7 +68,7 @@
 	l.Start("near", 20000, 20000)
 	far := l.Start("far", 0, 0)
 	far.Need(30000, 20000)
-	d := placer.Demand{Tokens: 4000, Held: 3000, Engine: &bluebelldoor.EngineKind{MemoryTokens: memory}, DataCentre: "x", ColdPerSecond: -1, Limits: placer.NewLimits(false)}
+	d := placer.Demand{Tokens: 4000, Held: 3000, Engine: &bluebelldoor.EngineKind{MemoryTokens: memory}, DataCentre: "x", ColdPerSecond: -1, Limits: placer.NewLimits(false, 1)}
 	got := l.Pick([]placer.Candidate{{Instance: instance("near", "x")}, {Instance: instance("far", "y")}}, d, 0, rand.Float64)
 	assert.Equal(t, got.Index, 1)
 }
--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -207,7 +207,7 @@
 		return placer.HasRoom
 	}
 	demand := j.demand()
-	demand.Limits = placer.NewLimits(!j.long())
+	demand.Limits = placer.NewLimits(!j.long(), j.priority)
 	choice := j.ledger.Pick(candidates, demand, now, rand.Float64)
 	if choice.Index < 0 {
 		return max(choice.Lacks, placer.NoReading)
--- a/standin/rater/relay.go
+++ b/standin/rater/relay.go
@@ -71,7 +71,7 @@
 
 func (r *relaying) arrive(j *job) []decision {
 	r.line.Add(&placer.Waiting[*job]{
-		Value: j, Priority: j.request.Class.Priority(), Turn: j.arrived,
+		Value: j, Priority: rank(j), Turn: j.arrived,
 		InTime: j.arrived + placer.InTime(objective, j.kind.Prompt),
 		Latest: min(r.bench.now+placer.WaitTime(objective, j.kind.Prompt), j.arrived+j.kind.Within-runTime(j.hint)),
 		Long:   j.hint >= placer.LongTokens,
@@ -79,6 +79,10 @@
 	return r.tick()
 }
 
+// rank is a generation's rank among the routes of a relay, which count from 0.
+// Classes count from 1.
+func rank(j *job) int { return j.request.Class.Priority() - 1 }
+
 // runTime is how long a generation takes at the least, as it is taken into
 // account where deadlines are near.
 func runTime(tokens int) time.Duration {
@@ -96,7 +100,7 @@
 	engines, candidates := r.candidates(nil)
 	r.line.Send(now, func(j *job) placer.Room {
 		d := r.demand(j)
-		d.Limits = placer.NewLimits(j.hint < placer.LongTokens)
+		d.Limits = placer.NewLimits(j.hint < placer.LongTokens, rank(j))
 		choice := r.ledger.Pick(candidates, d, now, r.bench.random.Float64)
 		if choice.Index < 0 {
 			return max(choice.Lacks, placer.NoReading)
