Leave memory to short ones only where such come

Each VM keeps when short generations of a rank last came (Shorts), and long ones leave memory if one that goes before them came within 10 s. TestShorts; TestBounds, TestBoundsBeyondCapacity and TestMoves pass.

--- a/request/placer/load_test.go
+++ b/request/placer/load_test.go
@@ -249,7 +249,7 @@
 	}
 	demand := placer.Demand{
 		DataCentre: l.engines[vm%3].instance.DataCentre, ColdPerSecond: -1,
-		Engine: &bluebelldoor.EngineKind{MemoryTokens: memory}, Limits: placer.NewLimits(true, 0),
+		Engine: &bluebelldoor.EngineKind{MemoryTokens: memory}, Limits: placer.NewLimits(true, false),
 	}
 	for _, w := range l.of[vm].Order(now) {
 		choice := l.ledgers[vm].Pick(candidates, demand, now, l.random.Float64)
--- a/request/placer/room.go
+++ b/request/placer/room.go
@@ -16,9 +16,12 @@
 	// heldShare is the part of an engine's memory that may be in use when it
 	// gets a generation. Above it the next tokens push one out.
 	heldShare = 0.9
-	// longHeldShare is the same for a long generation of a lower rank: the rest
-	// is for short ones, which need it for a moment only.
+	// longHeldShare is the same for a long generation where short ones go before
+	// it: the rest is for them, who need it for a moment only.
 	longHeldShare = 0.8
+	// shortsFor is how long a short generation lets others be expected: several
+	// times as long as engines serve one.
+	shortsFor = 10 * time.Second
 	// neededShare is the part that long generations together may come to need.
 	// They end at different times, so not all of it is needed at once.
 	neededShare = 1.5
@@ -61,14 +64,14 @@
 }
 
 // NewLimits returns those of a new generation. What a short one will come to
-// need it needs for a moment only. A long one leaves memory to short ones that
-// go before it, unless it is of the first rank.
-func NewLimits(short bool, priority int) *Limits {
+// need it needs for a moment only. A long one leaves memory to short ones if such
+// come that go before it.
+func NewLimits(short, shortsBefore bool) *Limits {
 	limits := &Limits{Prompts: ReadRate * queueTime.Seconds(), Held: heldShare, Needed: neededShare}
 	switch {
 	case short:
 		limits.Needed = 0
-	case priority > 0:
+	case shortsBefore:
 		limits.Held = longHeldShare
 	}
 	return limits
@@ -129,3 +132,26 @@
 	}
 	return d
 }
+
+// Shorts tells whether short generations come, of which rank. The zero value has
+// seen none. It is not safe for concurrent use.
+type Shorts struct{ last map[int]time.Duration }
+
+// Came notes that a short generation of a rank came at now.
+func (s *Shorts) Came(priority int, now time.Duration) {
+	if s.last == nil {
+		s.last = map[int]time.Duration{}
+	}
+	s.last[priority] = now
+}
+
+// Before reports whether short generations have come of late that go before
+// those of a rank.
+func (s *Shorts) Before(priority int, now time.Duration) bool {
+	for rank, at := range s.last {
+		if rank < priority && now-at < shortsFor {
+			return true
+		}
+	}
+	return false
+}
--- a/request/placer/room_test.go
+++ b/request/placer/room_test.go
@@ -21,7 +21,7 @@
 	for name, c := range map[string]struct {
 		tokens, held, prefill int
 		slots, connections    int
-		// first is for a long one of the first rank.
+		// first is for a long one before which no short ones go.
 		long, first, short, copied placer.Room
 	}{
 		"idle":                     {0, 0, 0, 24, 0, placer.HasRoom, placer.HasRoom, placer.HasRoom, placer.HasRoom},
@@ -51,9 +51,9 @@
 				assert.Equal(t, got.Index < 0, got.Lacks != placer.HasRoom)
 				return got.Lacks
 			}
-			assert.Equal(t, room(long, placer.NewLimits(false, 1)), c.long)
-			assert.Equal(t, room(long, placer.NewLimits(false, 0)), c.first)
-			assert.Equal(t, room(short, placer.NewLimits(true, 0)), c.short)
+			assert.Equal(t, room(long, placer.NewLimits(false, true)), c.long)
+			assert.Equal(t, room(long, placer.NewLimits(false, false)), c.first)
+			assert.Equal(t, room(short, placer.NewLimits(true, false)), c.short)
 			copied := long
 			copied.Copied = true
 			assert.Equal(t, room(copied, placer.CopyLimits), c.copied)
@@ -68,7 +68,7 @@
 	l.Start("near", 20000, 20000)
 	far := l.Start("far", 0, 0)
 	far.Need(30000, 20000)
-	d := placer.Demand{Tokens: 4000, Held: 3000, Engine: &bluebelldoor.EngineKind{MemoryTokens: memory}, DataCentre: "x", ColdPerSecond: -1, Limits: placer.NewLimits(false, 1)}
+	d := placer.Demand{Tokens: 4000, Held: 3000, Engine: &bluebelldoor.EngineKind{MemoryTokens: memory}, DataCentre: "x", ColdPerSecond: -1, Limits: placer.NewLimits(false, true)}
 	got := l.Pick([]placer.Candidate{{Instance: instance("near", "x")}, {Instance: instance("far", "y")}}, d, 0, rand.Float64)
 	assert.Equal(t, got.Index, 1)
 }
@@ -110,3 +110,25 @@
 		t.Run(name, func(t *testing.T) { assert.Equal(t, placer.WaitTime(c.objective, c.prompt), c.wait) })
 	}
 }
+
+// TestShorts tells whether short generations come that go before those of a
+// rank.
+func TestShorts(t *testing.T) {
+	for name, c := range map[string]struct {
+		came, asked int // ranks
+		after       time.Duration
+		before      bool
+	}{
+		"one of a better rank":         {0, 1, time.Second, true},
+		"one of the same rank":         {1, 1, time.Second, false},
+		"one of a worse rank":          {2, 1, time.Second, false},
+		"one that came a while before": {0, 1, time.Minute, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s placer.Shorts
+			assert.Assert(t, !s.Before(c.asked, 0), "none has come")
+			s.Came(c.came, time.Hour)
+			assert.Equal(t, s.Before(c.asked, time.Hour+c.after), c.before)
+		})
+	}
+}
--- a/request/placer/sustained_test.go
+++ b/request/placer/sustained_test.go
@@ -26,7 +26,7 @@
 	of      [testVMs]placer.Line[visit]
 	looking [testVMs]bool
 	wait    func(objective time.Duration, prompt int) time.Duration
-	limits  func(short bool, priority int) *placer.Limits
+	limits  func(short, shortsBefore bool) *placer.Limits
 	// checks are the short ones that were served in time.
 	checks int
 }
@@ -50,7 +50,7 @@
 	line.Send(now, func(v visit) placer.Room {
 		demand := placer.Demand{
 			Tokens: v.prompt + v.output, Held: v.prompt, DataCentre: r.engines[vm%3].instance.DataCentre, ColdPerSecond: -1,
-			Engine: &bluebelldoor.EngineKind{MemoryTokens: memory}, Limits: r.limits(!v.long(), 1),
+			Engine: &bluebelldoor.EngineKind{MemoryTokens: memory}, Limits: r.limits(!v.long(), true),
 		}
 		candidates := make([]placer.Candidate, len(r.engines))
 		for i, e := range r.engines {
@@ -137,8 +137,8 @@
 	for seed := range uint64(3) {
 		got := newReturning(seed).sustain()
 		filling := newReturning(seed)
-		filling.limits = func(short bool, _ int) *placer.Limits {
-			return placer.NewLimits(short, 0)
+		filling.limits = func(short, _ bool) *placer.Limits {
+			return placer.NewLimits(short, false)
 		}
 		other := filling.sustain()
 		t.Logf("seed %d: %v, filling %v", seed, got, other)
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -70,7 +70,9 @@
 	streams map[*stream]struct{}
 	// lines hold, by service, the generations for which no engine has room yet;
 	// looking tells that a goroutine looks for room.
-	lines   map[string]*placer.Line[*waiter]
+	lines map[string]*placer.Line[*waiter]
+	// shorts tell, by service, whether short generations come.
+	shorts  map[string]*placer.Shorts
 	looking bool
 }
 
@@ -84,6 +86,7 @@
 		ledger:  placer.NewLedger(),
 		streams: map[*stream]struct{}{},
 		lines:   map[string]*placer.Line[*waiter]{},
+		shorts:  map[string]*placer.Shorts{},
 	}
 	r.settings.Store(&settings)
 	return r
--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -77,6 +77,9 @@
 	if objective := j.route.Objective; objective > 0 {
 		w.InTime = w.Turn + placer.InTime(objective, j.request.PromptTokens)
 	}
+	if !w.Long {
+		j.shortsOf(j.name).Came(j.priority, j.arrived)
+	}
 	line := j.lines[j.name]
 	if line == nil {
 		line = &placer.Line[*waiter]{}
@@ -86,6 +89,17 @@
 	return w
 }
 
+// shortsOf returns what is known of a service's short generations. It needs the
+// lock.
+func (r *Relayer) shortsOf(service string) *placer.Shorts {
+	s := r.shorts[service]
+	if s == nil {
+		s = &placer.Shorts{}
+		r.shorts[service] = s
+	}
+	return s
+}
+
 // firstArrived returns when the caller first asked: one that comes back has
 // less time than the route gives, and keeps its place among those that wait.
 func (j *job) firstArrived() time.Duration {
@@ -207,7 +221,7 @@
 		return placer.HasRoom
 	}
 	demand := j.demand()
-	demand.Limits = placer.NewLimits(!j.long(), j.priority)
+	demand.Limits = placer.NewLimits(!j.long(), j.shortsOf(j.name).Before(j.priority, now))
 	choice := j.ledger.Pick(candidates, demand, now, rand.Float64)
 	if choice.Index < 0 {
 		return max(choice.Lacks, placer.NoReading)
--- a/standin/rater/relay.go
+++ b/standin/rater/relay.go
@@ -34,6 +34,7 @@
 	vm     *vm
 	ledger *placer.Ledger
 	line   placer.Line[*job]
+	shorts placer.Shorts
 	placed map[*job]*placer.Reservation
 }
 
@@ -70,6 +71,9 @@
 }
 
 func (r *relaying) arrive(j *job) []decision {
+	if j.hint < placer.LongTokens {
+		r.shorts.Came(rank(j), r.bench.now)
+	}
 	r.line.Add(&placer.Waiting[*job]{
 		Value: j, Priority: rank(j), Turn: j.arrived,
 		InTime: j.arrived + placer.InTime(objective, j.kind.Prompt),
@@ -100,7 +104,7 @@
 	engines, candidates := r.candidates(nil)
 	r.line.Send(now, func(j *job) placer.Room {
 		d := r.demand(j)
-		d.Limits = placer.NewLimits(j.hint < placer.LongTokens, rank(j))
+		d.Limits = placer.NewLimits(j.hint < placer.LongTokens, r.shorts.Before(rank(j), now))
 		choice := r.ledger.Pick(candidates, d, now, r.bench.random.Float64)
 		if choice.Index < 0 {
 			return max(choice.Lacks, placer.NoReading)
