Expect short generations within a second of the last

Ruled out: their rank (it is right that they go before).

On the users' routes a VM that serves gets three to six short ones a second.

--- a/request/placer/room.go
+++ b/request/placer/room.go
@@ -19,9 +19,9 @@
 	// longHeldShare is the same for a long generation where short ones go before
 	// it: the rest is for them, who need it for a moment only.
 	longHeldShare = 0.8
-	// shortsFor is how long a short generation lets others be expected: several
-	// times as long as engines serve one.
-	shortsFor = 10 * time.Second
+	// shortsFor is how long after a short generation the next is expected. Where
+	// they come less often, memory kept for them lies idle for the most part.
+	shortsFor = time.Second
 	// neededShare is the part that long generations together may come to need.
 	// They end at different times, so not all of it is needed at once.
 	neededShare = 1.5
--- a/request/placer/room_test.go
+++ b/request/placer/room_test.go
@@ -119,10 +119,10 @@
 		after       time.Duration
 		before      bool
 	}{
-		"one of a better rank":         {0, 1, time.Second, true},
-		"one of the same rank":         {1, 1, time.Second, false},
-		"one of a worse rank":          {2, 1, time.Second, false},
-		"one that came a while before": {0, 1, time.Minute, false},
+		"one of a better rank":         {0, 1, 500 * time.Millisecond, true},
+		"one of the same rank":         {1, 1, 500 * time.Millisecond, false},
+		"one of a worse rank":          {2, 1, 500 * time.Millisecond, false},
+		"one that came a while before": {0, 1, 2 * time.Second, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var s placer.Shorts
