--- a/request/placer/room.go
+++ b/request/placer/room.go
@@ -19,22 +19,12 @@
 	// longHeldShare is the same for a long generation where short ones go before
 	// it: the rest is for them, who need it for a moment only.
 	longHeldShare = 0.8
-	// shortsFor is how long after a short generation the next is expected. Where
-	// they come less often, memory kept for them lies idle for the most part.
-	shortsFor = time.Second
 	// neededShare is the part that long generations together may come to need.
 	// They end at different times, so not all of it is needed at once.
 	neededShare = 1.5
 	// LongTokens is how many expected tokens make a generation that holds its
 	// memory for seconds; shorter ones make room again soon.
 	LongTokens = 150
-	// soonestReturn and latestReturn are when callers that were refused come
-	// back: when most of the generations that run now have ended, and spread
-	// so that they do not come at once.
-	soonestReturn = 8 * time.Second
-	latestReturn  = 13 * time.Second
-	// returnPart is the part of the time left that callers wait at most.
-	returnPart = 1.0 / 3
 )
 
 // Room tells whether a target has room for a generation.
@@ -104,54 +94,3 @@
 func ReadTime(prompt int) time.Duration {
 	return time.Duration(prompt) * time.Second / ReadRate
 }
-
-// InTime returns until when a generation must be sent to begin by objective.
-func InTime(objective time.Duration, prompt int) time.Duration {
-	return objective - queueTime - ReadTime(prompt)
-}
-
-// waitShare is the part of the time until InTime that a generation waits for
-// room; the rest is for engines that take longer than is reckoned.
-const waitShare = 0.5
-
-// WaitTime returns how long a generation waits for room before its caller is
-// refused. Beyond it the generation would begin late, and take the room of one
-// that comes now.
-func WaitTime(objective time.Duration, prompt int) time.Duration {
-	return max(0, time.Duration(waitShare*float64(InTime(objective, prompt))))
-}
-
-// ComeBack returns when a caller that is refused for want of room, and has so
-// much time left, may come back: in time for another try that begins within the
-// objective. One that has not the time for that is told when engines have room.
-// random returns numbers from 0 to 1.
-func ComeBack(left, objective time.Duration, random func() float64) time.Duration {
-	d := soonestReturn + time.Duration(random()*float64(latestReturn-soonestReturn))
-	if sooner := time.Duration(float64(left) * returnPart); left-sooner > objective {
-		d = min(d, sooner)
-	}
-	return d
-}
-
-// Shorts tells whether short generations come, of which rank. The zero value has
-// seen none. It is not safe for concurrent use.
-type Shorts struct{ last map[int]time.Duration }
-
-// Came notes that a short generation of a rank came at now.
-func (s *Shorts) Came(priority int, now time.Duration) {
-	if s.last == nil {
-		s.last = map[int]time.Duration{}
-	}
-	s.last[priority] = now
-}
-
-// Before reports whether short generations have come of late that go before
-// those of a rank.
-func (s *Shorts) Before(priority int, now time.Duration) bool {
-	for rank, at := range s.last {
-		if rank < priority && now-at < shortsFor {
-			return true
-		}
-	}
-	return false
-}
