--- a/process/runner/stops_test.go
+++ b/process/runner/stops_test.go
@@ -129,8 +129,8 @@
 	assert.Equal(t, cut, 0)
 }
 
-// fillEngine starts generations that fill an engine's memory as far as long ones
-// may, and returns when they run. The channel gets their answers.
+// fillEngine starts generations that leave an engine room for short ones only,
+// and returns when they run. The channel gets their answers.
 func (f *relays) fillEngine(t *testing.T, engine *lender.Target) chan answer {
 	t.Helper()
 	engine.Acts(func(*http.Request) lender.Act { return lender.Slow })
@@ -138,7 +138,7 @@
 	full := make(chan answer, running)
 	for i := range running {
 		go func() {
-			full <- f.vms[0].ask(t, "POST", toStream, fmt.Sprintf("full-%d", i), map[string]string{"Token-Count": "13000,300", "Length-Hint": "300", "Deadline-Ms": "20000"})
+			full <- f.vms[0].ask(t, "POST", toStream, fmt.Sprintf("full-%d", i), map[string]string{"Token-Count": "14500,300", "Length-Hint": "300", "Deadline-Ms": "20000"})
 		}()
 	}
 	await(t, "the engine is full", func() bool {
