Refuse calls where every target has the connections that it takes

Cause: found while taking rules out on scratch copies. Three places of the relay could be taken out without a failing test: the bound on the wait, the memory left to short ones, and the connections of a target (the placer's tests hold them, not their use). The test for the last one failed on the code as it was: 150 callers at once before two targets of 50 connections each, of which some got 502. Where all are full the least full one was chosen, and reset what came beyond its connections.

Ruled out: connections that stay idle (none is kept there), the reset of connections on their way to close (a tenth is now left to those; without it the test fails).

A target that has nine tenths of its connections in use gets none; where all have, the answer is 503, not run, with when to come back.

--- a/request/placer/line.go
+++ b/request/placer/line.go
@@ -78,7 +78,7 @@
 			l.Remove(w)
 		case NoMemory:
 			blocked = blocked || w.Long
-		case NoReading:
+		case NoReading, NoConnection:
 			return
 		}
 	}
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -39,6 +39,9 @@
 	runnerCost   = 0.2
 	crowdedCost  = 4
 	crowdedShare = 0.5
+	// connectionShare is the part of the connections that a target takes which
+	// requests may use; the rest is for those that it has not seen close yet.
+	connectionShare = 0.9
 	// overCost weighs generations that together may come to need twice a
 	// target's memory. They need it only if they are long at the same time.
 	overCost = 30
@@ -111,6 +114,10 @@
 		if c.Cold && !l.coldRoom(c.Instance.ID, d.ColdPerSecond, now) {
 			continue
 		}
+		if usable := usableConnections(d); usable > 0 && l.sums[c.Instance.ID].requests >= usable {
+			best.Lacks = max(best.Lacks, NoConnection)
+			continue
+		}
 		if lacks := l.lacks(c, d); lacks != HasRoom {
 			best.Lacks = max(best.Lacks, lacks)
 			continue
@@ -196,10 +203,20 @@
 // places returns how many requests a target runs at once, 0 if that is not
 // known.
 func places(c Candidate, d Demand) int {
-	if d.Connections > 0 && c.Instance.Slots > 0 {
-		return min(c.Instance.Slots, d.Connections)
+	connections := usableConnections(d)
+	if connections > 0 && c.Instance.Slots > 0 {
+		return min(c.Instance.Slots, connections)
+	}
+	return max(c.Instance.Slots, connections)
+}
+
+// usableConnections returns how many connections to a target requests may use, 0
+// if there is no limit. A target resets those beyond what it takes.
+func usableConnections(d Demand) int {
+	if d.Connections <= 0 {
+		return 0
 	}
-	return max(c.Instance.Slots, d.Connections)
+	return max(1, int(connectionShare*float64(d.Connections)))
 }
 
 // stuckShare returns the part of an engine's memory that could not be copied
--- a/request/placer/room.go
+++ b/request/placer/room.go
@@ -34,6 +34,8 @@
 const (
 	// HasRoom lets the generation begin.
 	HasRoom Room = iota
+	// NoConnection is a target that has the connections that it takes.
+	NoConnection
 	// NoReading is a target that has prompts enough to read, or no place.
 	NoReading
 	// NoMemory is a target that could read the prompt, but whose memory the
@@ -42,7 +44,7 @@
 )
 
 // String names the room, for log lines.
-func (r Room) String() string { return [...]string{"room", "prompts", "memory"}[r] }
+func (r Room) String() string { return [...]string{"room", "connections", "prompts", "memory"}[r] }
 
 // Limits bound what a target may have when it gets a generation.
 type Limits struct {
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -55,6 +55,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	choice := j.ledger.Pick(candidates, demand, now, rand.Float64)
+	if choice.Index < 0 && choice.Lacks == placer.NoConnection {
+		return nil, nil, bluebelldoor.Refuse(bluebelldoor.NoTarget, "every target has the connections that it takes").WithRetryAfter(comeBack)
+	}
 	if choice.Index < 0 {
 		return nil, nil, bluebelldoor.Refuse(bluebelldoor.ColdTargets, "all targets are cold and have what they bear").WithRetryAfter(comeBack)
 	}
--- a/standin/lender/store.go
+++ b/standin/lender/store.go
@@ -80,6 +80,13 @@
 	s.changed = make(chan struct{})
 }
 
+// Revision returns that of the last change.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // Put writes an entry: text as it is, anything else as JSON.
 func (s *Store) Put(key string, value any) {
 	text, isText := value.(string)
