--- a/relay.go
+++ b/relay.go
@@ -96,9 +96,6 @@
 	ResumeAfter string
 	// Copy names the copy of a running generation to go on from.
 	Copy string
-	// Backup is the address of an engine that is to keep a copy of the
-	// generation as it grows, empty for none.
-	Backup string
 }
 
 // AnswerHead is what the product knows of a target's answer.
--- a/request/placer/ledger.go
+++ b/request/placer/ledger.go
@@ -26,7 +26,6 @@
 // load is what runs on a target.
 type load struct {
 	requests int
-	copies   int // that are kept of generations on other targets
 	tokens   int // that will come to be needed
 	held     int // that are needed now
 	prefill  int
@@ -74,8 +73,6 @@
 	held    int
 	prefill int
 	ended   bool
-	// copy tells that it takes no place.
-	copy bool
 }
 
 // Start notes that a request goes to a target. tokens is the memory that it
@@ -94,16 +91,6 @@
 	return &Reservation{ledger: l, target: target, tokens: tokens, held: prefill, prefill: prefill}
 }
 
-// Keep notes that a target is to keep a copy of a generation, which takes
-// memory there but no place.
-func (l *Ledger) Keep(target string) *Reservation {
-	s := l.Start(target, 0, 0)
-	l.own[target].requests--
-	l.own[target].copies++
-	s.copy = true
-	return s
-}
-
 // Read notes that the prompt has been read.
 func (s *Reservation) Read() {
 	if s.ended || s.prefill == 0 {
@@ -135,14 +122,10 @@
 	s.Read()
 	s.ended = true
 	own := s.ledger.own[s.target]
-	if s.copy {
-		own.copies--
-	} else {
-		own.requests--
-	}
+	own.requests--
 	own.tokens -= s.tokens
 	own.held -= s.held
-	if own.requests == 0 && own.copies == 0 {
+	if own.requests == 0 {
 		delete(s.ledger.own, s.target)
 	}
 	s.ledger.dirty = true
--- a/request/placer/room.go
+++ b/request/placer/room.go
@@ -76,7 +76,7 @@
 // has room for any.
 func (l *Ledger) lacks(c Candidate, d Demand) Room {
 	sum := l.sums[c.Instance.ID]
-	if d.Limits == nil || d.Engine == nil || sum.requests == 0 && sum.held == 0 {
+	if d.Limits == nil || d.Engine == nil || sum.requests == 0 {
 		return HasRoom
 	}
 	memory := float64(d.Engine.MemoryTokens)
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -124,7 +124,6 @@
 			Priority:    j.priority,
 			ResumeAfter: resumeAfter,
 			Copy:        copied,
-			Backup:      j.backup.address(t),
 		}),
 		Body:     j.request.Body,
 		Fresh:    !j.route.Repeatable(),
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -144,7 +144,6 @@
 	runs     int // sends after which a target may have run the request
 	unrun    int // sends that were proved not to have run
 	unsends  int // targets that no byte was sent to
-	backup   *backup
 }
 
 // Serve takes a caller's request to its final answer.
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -84,9 +84,6 @@
 	expected := max(j.expected(), int(float64(made)*(1+restPart)))
 	j.mu.Lock()
 	reservation.Need(j.request.PromptTokens+expected, j.request.PromptTokens+made)
-	if b := j.backup; b != nil {
-		b.reservation.Need(j.request.PromptTokens+expected, j.request.PromptTokens+made)
-	}
 	j.mu.Unlock()
 }
 
@@ -258,9 +255,6 @@
 			return answer, reservation
 		}
 	}
-	if answer, reservation := s.fromBackup(); answer != nil {
-		return answer, reservation
-	}
 	if !s.job.route.Resumable {
 		return nil, nil
 	}
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -44,8 +44,6 @@
 	if j.route.Generates {
 		j.sources.Placed()
 	}
-	j.backUp(t)
-	defer j.dropBackup()
 	answer, err := j.Targets.Send(j.ctx, t.Instance, j.outgoing(t, j.request.ResumeAfter, ""))
 	if err != nil {
 		return j.sendFailed(t, err)
