Gossiper: tell all members once a second, near VMs first

Cause: docs/CAPACITY.md names the mesh of VMs that serve as what breaks first. Two parts of it needed no mesh. A VM told the others of all members in each fourth round, and a round is started by each generation: at 50 starts a second 625 messages with all members in ten seconds where 55 are meant. And where more VMs serve than are told in a round (16), those that are told were drawn at random: of 48 VMs in 16 data centres, two of one data centre, whose work meets at the same engines, spoke 45 to 55 times in 20 s.

Now all members are told by time, and VMs of the own data centre go first; a start is told to those alone where more than 16 serve. Up to 16, as on the users' deployments, a round tells the same VMs as before.

Ruled out: that peers learn too little with fewer whole messages: changes are told at once as before, and TestFindEachOther, TestDeadAreForgotten and TestCutHeals hold in virtual time.

TestHurriedRounds and TestNearFirst fail before.

--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -23,9 +23,10 @@
 	// leafRounds is how many rounds pass between two questions of a VM that
 	// stands by to one that serves.
 	leafRounds = 3
-	// fullRounds is how many rounds pass between two tellings of all members
-	// to a VM that serves; changes are told at once.
-	fullRounds = 4
+	// fullEvery is the time between two tellings of all members to the VMs that
+	// serve, four rounds less some, for rounds are not exact; changes are told
+	// at once.
+	fullEvery = 900 * time.Millisecond
 	// settleRounds is how many rounds after a change those who ask are told of
 	// all members.
 	settleRounds = 12
@@ -39,7 +40,8 @@
 	// exchangeTimeout bounds one exchange; a peer that is cut off says nothing.
 	exchangeTimeout = 500 * time.Millisecond
 	// fanOut is how many peers are told in a round; up to that many VMs that
-	// serve tell each other directly.
+	// serve tell each other directly. Of more, those of the own data centre go
+	// first: work goes to near targets.
 	fanOut = 16
 	// longestTakeover bounds how long a VM that is missing among those that
 	// serve waits for another to step in.
@@ -84,6 +86,8 @@
 	// changed is the round in which the members that are alive, or those that
 	// serve, last changed.
 	changed uint64
+	// lastFull is when those that serve were last told of all members.
+	lastFull time.Duration
 	// told is the largest number of members that a peer has told of.
 	told int
 	// neededSince is since when the VM has been missing among those that serve, 0 if
@@ -165,16 +169,13 @@
 	switch {
 	case s.isHub:
 		members := []bluebelldoor.MemberState{self}
-		full := beat%fullRounds == 0 || beat-g.changed < 2
+		now := g.clock.Now()
+		full := now-g.lastFull >= fullEvery || beat-g.changed < 2
 		if full {
 			members = g.all()
+			g.lastFull = now
 		}
-		hubs := slices.Clone(s.hubs)
-		if !hurried && !full {
-			hubs = g.notHeard(hubs)
-		}
-		rand.Shuffle(len(hubs), func(i, j int) { hubs[i], hubs[j] = hubs[j], hubs[i] })
-		for _, hub := range hubs[:min(len(hubs), fanOut)] {
+		for _, hub := range g.hubsToTell(s.hubs, hurried, full) {
 			add(hub, members)
 		}
 	case beat%leafRounds == 0 || beat-g.changed < 2:
@@ -188,6 +189,39 @@
 	return out
 }
 
+// hubsToTell returns which of those that serve are told in a round, fanOut of them
+// at most. A mutex is held.
+func (g *Gossiper) hubsToTell(all []bluebelldoor.MemberState, hurried, full bool) []bluebelldoor.MemberState {
+	hubs := slices.Clone(all)
+	if !hurried && !full {
+		hubs = g.notHeard(hubs)
+	}
+	if len(all) <= fanOut {
+		return hubs
+	}
+	near, far := g.split(hubs)
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	if hurried && !full {
+		// Those elsewhere hear in the regular rounds.
+		far = nil
+	}
+	hubs = append(near, far...)
+	return hubs[:min(len(hubs), fanOut)]
+}
+
+// split returns the members of the own data centre, and the others.
+func (g *Gossiper) split(members []bluebelldoor.MemberState) (near, far []bluebelldoor.MemberState) {
+	for _, m := range members {
+		if m.DataCentre == g.table.Self().DataCentre {
+			near = append(near, m)
+		} else {
+			far = append(far, m)
+		}
+	}
+	return near, far
+}
+
 // notHeard returns those that have not told this VM of late. Of two VMs that
 // serve one tells the other so, and has its answer. A mutex is held.
 func (g *Gossiper) notHeard(hubs []bluebelldoor.MemberState) []bluebelldoor.MemberState {
@@ -202,12 +236,7 @@
 // nearHub returns a VM that serves, of the own data centre first; n chooses
 // another each time.
 func (g *Gossiper) nearHub(hubs []bluebelldoor.MemberState, n uint64) *bluebelldoor.MemberState {
-	var near []bluebelldoor.MemberState
-	for _, hub := range hubs {
-		if hub.DataCentre == g.table.Self().DataCentre {
-			near = append(near, hub)
-		}
-	}
+	near, _ := g.split(hubs)
 	if len(near) == 0 {
 		near = hubs
 	}
--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -30,8 +30,10 @@
 	// exchanges counts those between two VMs, either way, and last is when the
 	// newest was; longest is the longest time without one.
 	exchanges map[[2]string]int
-	last      map[[2]string]time.Time
-	longest   time.Duration
+	// whole counts messages that tell of more members than the sender.
+	whole   map[string]int
+	last    map[[2]string]time.Time
+	longest time.Duration
 }
 
 var errCut = errors.New("cut off")
@@ -76,6 +78,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.bytes[name] += len(data)
+	if len(message.Members) > 1 {
+		f.whole[name]++
+	}
 }
 
 func (f from) Turn(context.Context, string, *bluebelldoor.TurnRequest) (*bluebelldoor.TurnReply, error) {
@@ -113,7 +118,7 @@
 func newNetwork() *network {
 	return &network{
 		vms: map[string]*gossiper.Gossiper{}, cut: map[string]bool{}, bytes: map[string]int{},
-		exchanges: map[[2]string]int{}, last: map[[2]string]time.Time{},
+		exchanges: map[[2]string]int{}, whole: map[string]int{}, last: map[[2]string]time.Time{},
 	}
 }
 
@@ -139,6 +144,15 @@
 	wg.Wait()
 }
 
+// dataCentreOf returns where a VM of a uniform fleet is.
+func dataCentreOf(vm string, dataCentres int) int {
+	var i int
+	if _, err := fmt.Sscanf(vm, "vm-%d", &i); err != nil {
+		panic(err)
+	}
+	return i % dataCentres
+}
+
 func uniform(n, dataCentres int) []spec {
 	var out []spec
 	for i := range n {
@@ -326,6 +340,63 @@
 	})
 }
 
+// TestHurriedRounds lets VMs that serve start generations all the while: they tell
+// each other of them at once, and of all members no more often than otherwise.
+func TestHurriedRounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const seconds, startsASecond, others = 10, 50, 5
+		n := newNetwork()
+		stops := n.fleet(uniform(6, 3), nil)
+		defer func() { stopAll(stops) }()
+		time.Sleep(8 * time.Second)
+		n.mu.Lock()
+		clear(n.whole)
+		clear(n.exchanges)
+		n.mu.Unlock()
+		for range seconds * startsASecond {
+			n.vms[name(0)].Hurry()
+			time.Sleep(time.Second / startsASecond)
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		// Once a second, and in each of its answers to five others.
+		assert.Check(t, n.whole[name(0)] <= others*(seconds+1), "%d messages with all members", n.whole[name(0)])
+		assert.Check(t, n.exchanges[[2]string{name(0), name(1)}] >= seconds*startsASecond*9/10, "%d exchanges", n.exchanges[[2]string{name(0), name(1)}])
+	})
+}
+
+// TestNearFirst lets VMs that serve hear of those of their own data centre in each
+// round, where more serve than are told in one: work goes to near engines first.
+func TestNearFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const dataCentres, seconds = 16, 20
+		n := newNetwork()
+		stops := n.fleet(uniform(96, dataCentres), nil)
+		defer func() { stopAll(stops) }()
+		time.Sleep(10 * time.Second)
+		hubs := hubNames(n.vms[name(0)])
+		assert.Equal(t, len(hubs), 3*dataCentres)
+		n.mu.Lock()
+		clear(n.exchanges)
+		n.mu.Unlock()
+		time.Sleep(seconds * time.Second)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		near := 0
+		for i := range hubs {
+			for j := range i {
+				a, b := dataCentreOf(hubs[i], dataCentres), dataCentreOf(hubs[j], dataCentres)
+				if a != b {
+					continue
+				}
+				near++
+				assert.Check(t, n.exchanges[[2]string{hubs[j], hubs[i]}] >= seconds*3, "%s and %s: %d exchanges", hubs[j], hubs[i], n.exchanges[[2]string{hubs[j], hubs[i]}])
+			}
+		}
+		assert.Equal(t, near, 3*dataCentres)
+	})
+}
+
 func TestNeeded(t *testing.T) {
 	hubs := func(n int, dataCentre string, cores, use float64) (out []bluebelldoor.MemberState) {
 		for i := range n {
