--- /dev/null
+++ b/cmd/bluebelldoor/soakcallers_test.go
@@ -0,0 +1,107 @@
+package main_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// call sends requests as one caller, which keeps its connection until it
+// breaks and asks the directory for another address then.
+func (s *soak) call(ctx context.Context, caller int, r *rand.Rand) {
+	var conn *connection
+	for n := 0; ctx.Err() == nil; n++ {
+		if conn == nil {
+			conn = s.connect(r)
+			if conn == nil {
+				time.Sleep(50 * time.Millisecond)
+				continue
+			}
+		}
+		path := []string{"safe", "unsafe", "stream", "resume"}[r.IntN(4)]
+		key := []string{firstKey, secondKey}[r.IntN(2)]
+		o := s.send(conn, conn.address, path, fmt.Sprintf("c%d-%d", caller, n), key, soakDeadline)
+		s.mu.Lock()
+		s.outcomes = append(s.outcomes, o)
+		s.mu.Unlock()
+		if conn.broken {
+			_ = conn.Close()
+			conn = nil
+		}
+		time.Sleep(o.retryAfter)
+	}
+}
+
+type connection struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	broken  bool
+}
+
+// connect asks a directory for an address and connects there.
+func (s *soak) connect(r *rand.Rand) *connection {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + s.vms[r.IntN(len(s.vms))].directory + "/-/resolve?name=" + soakHost + "&zone=" + dataCentre(r.IntN(3)))
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	var entry struct {
+		Addresses []string `json:"addresses"`
+	}
+	if json.NewDecoder(response.Body).Decode(&entry) != nil || len(entry.Addresses) == 0 {
+		return nil
+	}
+	return dialVM(entry.Addresses[r.IntN(len(entry.Addresses))])
+}
+
+func dialVM(address string) *connection {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return nil
+	}
+	return &connection{Conn: conn, address: address, reader: bufio.NewReader(conn)}
+}
+
+// send sends one request, over a connection of its own if conn is nil.
+func (s *soak) send(conn *connection, address, path, id, key string, within time.Duration) outcome {
+	o := outcome{id: id, path: path, key: key, sent: time.Now()}
+	if conn == nil {
+		if conn = dialVM(address); conn == nil {
+			return o
+		}
+		defer conn.Close()
+	}
+	conn.broken = true
+	if conn.SetDeadline(time.Now().Add(within+2*time.Second)) != nil {
+		return o
+	}
+	tokens := ""
+	if path == "stream" || path == "resume" {
+		tokens = "Token-Count: 50,60\r\n"
+	}
+	request := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: %d\r\n%sContent-Length: 4\r\n\r\nbody",
+		path, soakHost, id, key, within.Milliseconds(), tokens)
+	if _, err := io.WriteString(conn, request); err != nil {
+		return o
+	}
+	response, err := http.ReadResponse(conn.reader, nil)
+	if err != nil {
+		return o
+	}
+	body, err := io.ReadAll(response.Body)
+	o.status, o.body, o.whole, o.stamp = response.StatusCode, string(body), err == nil, response.Header.Get("Server-Stamp")
+	conn.broken = err != nil || response.Close
+	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+		o.retryAfter = time.Duration(seconds * float64(time.Second))
+	}
+	return o
+}
