Gossiper: find each other soon at a start; turns are kept by VMs that serve

Before, each round that news of the store hurried tried seeds and any member, which happened to make them meet.

While members come and go, seeds and others are now tried in each round; the VM tells of all members then, and of those that it vouches for otherwise.

Ruled out: more readers later on (from the fifth second before the first request the calls are the same), VMs that stand by (one call each, as before).

An engine's turns are kept by one VM, found by rendezvous hashing over the members that are alive; of those VMs that stand by know few. Now it is one of those that serve, which all know (TestFindEachOther).

TestReadyTogether: 35 to 48 serve a second after 75 got ready without this, 18 at the most with it.

--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -172,9 +172,16 @@
 	case s.isHub:
 		members := []bluebelldoor.MemberState{self}
 		now := g.clock.Now()
-		full := now-g.lastFull >= fullEvery || beat-g.changed < 2
-		if full {
+		changed := beat-g.changed < 2
+		full := now-g.lastFull >= fullEvery || changed
+		switch {
+		case changed:
+			// Parts of a fleet that find each other learn of all at once.
+			members = g.all()
+		case full:
 			members = g.vouched(s, now)
+		}
+		if full {
 			g.lastFull = now
 		}
 		for _, hub := range g.hubsToTell(s.hubs, hurried, full) {
@@ -185,7 +192,8 @@
 			add(*hub, []bluebelldoor.MemberState{self})
 		}
 	}
-	if now := g.clock.Now(); now-g.lastRevive >= reviveEvery {
+	// While members come and go, parts of a fleet are finding each other.
+	if now := g.clock.Now(); now-g.lastRevive >= reviveEvery || beat-g.changed < settleRounds {
 		g.lastRevive = now
 		out = append(out, g.revive(s)...)
 	}
@@ -357,7 +365,7 @@
 	out := &bluebelldoor.ExchangeMessage{From: g.table.Self().Name, Known: s.known}
 	switch {
 	case !known, g.table.Self().Heartbeat-g.changed < settleRounds:
-		out.Members = g.vouched(s, g.clock.Now())
+		out.Members = g.all()
 	case slices.ContainsFunc(s.hubs, func(m bluebelldoor.MemberState) bool { return m.Name == in.From }):
 		out.Members = []bluebelldoor.MemberState{g.table.Self()}
 	default:
--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -30,6 +30,8 @@
 	// exchanges counts those between two VMs, either way, and last is when the
 	// newest was; longest is the longest time without one.
 	exchanges map[[2]string]int
+	// readyAt is when VMs get ready.
+	readyAt time.Time
 	// whole counts messages that tell of more members than the sender.
 	whole   map[string]int
 	last    map[[2]string]time.Time
@@ -103,7 +105,7 @@
 	}
 	g := gossiper.New(self, seeds, steady{time.Now().Add(-time.Hour)}, from{n, name(i)}, gossiper.Hooks{
 		Describe: func(m *bluebelldoor.MemberState) {
-			m.Ready, m.Loads, m.Use = true, loads, 0.01
+			m.Ready, m.Loads, m.Use = !time.Now().Before(n.readyAt), loads, 0.01
 			if !m.Hub {
 				// What a VM that stands by has on targets is little.
 				m.Loads = loads[:min(len(loads), 2)]
@@ -207,6 +209,27 @@
 	}
 }
 
+// TestReadyTogether lets VMs know each other before all of them get ready at once:
+// each then takes itself for one that serves, and reads the platform, until it
+// has heard of the others.
+func TestReadyTogether(t *testing.T) {
+	const vms, dataCentres, hubs, within = 75, 3, 9, time.Second
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.readyAt = time.Now().Add(3 * time.Second)
+		stops := n.fleet(uniform(vms, dataCentres), nil)
+		defer func() { stopAll(stops) }()
+		time.Sleep(3*time.Second + within)
+		serving := 0
+		for _, g := range n.vms {
+			if g.IsHub() {
+				serving++
+			}
+		}
+		assert.Check(t, serving <= 2*hubs, "%d serve", serving)
+	})
+}
+
 // TestDeadAreForgotten takes dead VMs out everywhere within the time after
 // which the directory must not name them, and chooses others to serve.
 func TestDeadAreForgotten(t *testing.T) {
--- a/process/runner/entry.go
+++ b/process/runner/entry.go
@@ -64,6 +64,15 @@
 		ranker.First("reader", byDataCentre[r.settings.DataCentre]) == r.settings.Name
 }
 
+// turnKeepers returns the VMs that keep engines' turns: those that serve, which
+// all VMs know, or else all that are alive.
+func (r *Relay) turnKeepers() []bluebelldoor.MemberState {
+	if hubs := r.gossiper.Hubs(); len(hubs) > 0 {
+		return hubs
+	}
+	return r.gossiper.Alive()
+}
+
 // entry names the VMs that a caller may use: those that serve in its own data
 // centre, if there are two at least, so that its requests cross no link between
 // data centres; else all that serve, or else all that are ready.
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -83,7 +83,7 @@
 		Delta:    r.registrar.Delta,
 		Receive:  r.registrar.Receive,
 	}, log.Named("gossiper"))
-	r.turner = turner.New(settings.Name, peers, r.gossiper.Alive, log.Named("turner"))
+	r.turner = turner.New(settings.Name, peers, r.turnKeepers, log.Named("turner"))
 	targets, closeTargets := exchanger.New(adapters.Codec)
 	r.onStop(closeTargets)
 	r.budget = budgeter.New(budget(settings))
