--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -23,7 +23,7 @@
 	// leafRounds is how many rounds pass between two questions of a VM that
 	// stands by to one that serves.
 	leafRounds = 3
-	// fullEvery is the time between two tellings of all members to the VMs that
+	// fullEvery is the time between two tellings of other members to the VMs that
 	// serve, four rounds less some, for rounds are not exact; changes are told
 	// at once.
 	fullEvery = 900 * time.Millisecond
@@ -86,7 +86,7 @@
 	// changed is the round in which the members that are alive, or those that
 	// serve, last changed.
 	changed uint64
-	// lastFull is when those that serve were last told of all members.
+	// lastFull is when those that serve were last told of other members.
 	lastFull time.Duration
 	// lastRevive is when seeds and silent members were last tried.
 	lastRevive time.Duration
--- a/process/gossiper/table.go
+++ b/process/gossiper/table.go
@@ -15,7 +15,7 @@
 	aliveFor = 2500 * time.Millisecond
 	// standbyFor is the same for a member that stands by, of which most hear
 	// only when the VMs that serve tell each other of those that ask them. No
-	// caller is sent to it.
+	// caller is sent to it while others serve.
 	standbyFor = 6 * time.Second
 	// directFor is how long a member counts as heard from itself: a VM that stands
 	// by asks each of the VMs of its data centre that serve in turn.
--- a/process/teller/teller.go
+++ b/process/teller/teller.go
@@ -15,6 +15,7 @@
 
 	"bluebelldoor"
 	"bluebelldoor/process/pacer"
+	"bluebelldoor/request/router"
 )
 
 const (
@@ -29,9 +30,6 @@
 	heardLately = 200 * time.Millisecond
 	// timeout bounds a telling. One that takes longer is news of the past.
 	timeout = 500 * time.Millisecond
-	// MostPeers is up to how many peers are told. The messages grow with the
-	// square of the VMs; in larger fleets targets' reports are what there is.
-	MostPeers = 16
 )
 
 // Peer is a VM that is told.
@@ -92,7 +90,7 @@
 // tell starts one round.
 func (t *Teller) tell(ctx context.Context, hurried bool) {
 	fleet := t.fleet()
-	if len(fleet) > MostPeers {
+	if len(fleet) > router.MostPeers {
 		return
 	}
 	message := t.message()
--- a/process/teller/teller_test.go
+++ b/process/teller/teller_test.go
@@ -16,6 +16,7 @@
 
 	"bluebelldoor"
 	"bluebelldoor/process/teller"
+	"bluebelldoor/request/router"
 )
 
 // book keeps what VMs told, and when.
@@ -117,9 +118,9 @@
 		"hurried":                         {3, true, 20 * time.Millisecond, true},
 		"not yet":                         {3, false, 5 * time.Millisecond, false},
 		"in a regular round":              {3, false, 550 * time.Millisecond, true},
-		"as many as tell each other":      {teller.MostPeers + 1, true, 20 * time.Millisecond, true},
-		"more VMs than tell each other":   {teller.MostPeers + 2, true, time.Minute, false},
-		"more, who wait for the next one": {teller.MostPeers + 2, false, time.Minute, false},
+		"as many as tell each other":      {router.MostPeers + 1, true, 20 * time.Millisecond, true},
+		"more VMs than tell each other":   {router.MostPeers + 2, true, time.Minute, false},
+		"more, who wait for the next one": {router.MostPeers + 2, false, time.Minute, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/request/router/peers.go
+++ b/request/router/peers.go
@@ -7,8 +7,10 @@
 	"bluebelldoor/request/placer"
 )
 
-// mostTold is up to how many VMs are asked for. More do not tell each other.
-const mostTold = 16
+// MostPeers is up to how many other VMs tell each other what they have: the
+// messages grow with the square of the VMs. In larger fleets targets' reports are
+// what there is.
+const MostPeers = 16
 
 // Peers is what the other VMs have on the targets, as they told it. It is not
 // safe for concurrent use.
@@ -27,7 +29,7 @@
 
 // all reports whether each of the VMs has told its loads of late.
 func (p *Peers) all(vms []string, now time.Time) bool {
-	if p == nil || len(vms) > mostTold {
+	if p == nil || len(vms) > MostPeers {
 		return false
 	}
 	at := p.since(now)
