Tests: loads told at a start, VMs that stand by known to those that serve

Taking out the telling at a start, or of members that were heard from themselves, made no test fail: the first test met a regular round by chance, the second had none. Both are noticed now.

--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -230,6 +230,23 @@
 	})
 }
 
+// TestStandbysKnown lets each VM that serves know all members, though who stands by
+// asks the VMs of its own data centre only.
+func TestStandbysKnown(t *testing.T) {
+	const vms = 75
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		stops := n.fleet(uniform(vms, 3), nil)
+		defer func() { stopAll(stops) }()
+		time.Sleep(20 * time.Second)
+		for vm, g := range n.vms {
+			if g.IsHub() {
+				assert.Check(t, len(g.Alive()) == vms, "%s knows %d alive", vm, len(g.Alive()))
+			}
+		}
+	})
+}
+
 // TestDeadAreForgotten takes dead VMs out everywhere within the time after
 // which the directory must not name them, and chooses others to serve.
 func TestDeadAreForgotten(t *testing.T) {
--- a/process/runner/loads_test.go
+++ b/process/runner/loads_test.go
@@ -34,6 +34,8 @@
 				w := newWorld(t, 1, false, 2, 1)
 				defer w.stop()
 				assert.Equal(t, elsewhere(w.at(1)), 0)
+				// Between two rounds, so that the start alone can tell.
+				time.Sleep(120 * time.Millisecond)
 				go w.stream(0, 2000)
 				// Two ways between VMs; the engine's reports are 100 ms old.
 				time.Sleep(10 * latency)
