Gossiper: a member that steps back is not silent

A member that was watched and then was not, since it or the VM itself had stepped back, was logged as silent: 441 lines in a fleet of 30 in which nobody dies.

Now a line says silent where the member has not been heard for its limit, and names that limit: it named that of members that serve for all.

What counts as a change, and who is told of what, is as before.

--- a/process/gossiper/state.go
+++ b/process/gossiper/state.go
@@ -57,8 +57,7 @@
 	return now-g.neededSince >= g.takeoverDelay
 }
 
-// publish makes the fleet visible and logs who came and who fell silent. A
-// mutex is held but for New.
+// publish makes the fleet visible. A mutex is held but for New.
 func (g *Gossiper) publish() {
 	alive := g.table.Alive(g.clock.Now())
 	self := g.table.Self()
@@ -74,24 +73,36 @@
 		s.hubs = append(s.hubs, g.table.Self())
 	}
 	g.state.Store(s)
-	now := make(map[string]bool, len(alive))
-	for _, m := range alive {
+	g.note(s)
+}
+
+// note logs who came and who fell silent, and when that last changed. VMs that
+// stand by are not told of each other, and watch only those that serve. A mutex is
+// held but for New.
+func (g *Gossiper) note(s *state) {
+	beat := g.table.Self().Heartbeat
+	now, alive := map[string]bool{}, map[string]bool{}
+	for _, m := range s.alive {
+		alive[m.Name] = true
 		if !s.isHub && !serves(m) {
-			// VMs that stand by are not told of each other.
 			continue
 		}
 		now[m.Name] = serves(m)
-		if _, noted := g.noted[m.Name]; !noted {
+		before, noted := g.noted[m.Name]
+		if !noted {
 			g.log.Info("member alive", "vm", m.Name, "incarnation", m.Incarnation, "known", s.known)
 		}
-		if before, noted := g.noted[m.Name]; !noted || before != now[m.Name] {
-			g.changed = self.Heartbeat
+		if !noted || before != now[m.Name] {
+			g.changed = beat
 		}
 	}
 	for name := range g.noted {
-		if _, still := now[name]; !still {
-			g.changed = self.Heartbeat
-			g.log.Warn("member silent", "vm", name, "limitMs", aliveFor.Milliseconds())
+		if _, still := now[name]; still {
+			continue
+		}
+		g.changed = beat
+		if !alive[name] {
+			g.log.Warn("member silent", "vm", name, "limitMs", g.table.silentAfter(name).Milliseconds())
 		}
 	}
 	g.noted = now
--- a/process/gossiper/table.go
+++ b/process/gossiper/table.go
@@ -34,11 +34,13 @@
 	direct time.Duration
 }
 
-func (m *member) alive(now time.Duration) bool {
+func (m *member) alive(now time.Duration) bool { return now-m.heard <= m.silentAfter() }
+
+func (m *member) silentAfter() time.Duration {
 	if m.state.Hub {
-		return now-m.heard <= aliveFor
+		return aliveFor
 	}
-	return now-m.heard <= standbyFor
+	return standbyFor
 }
 
 // Table holds the members that one VM knows. It is not safe for concurrent
@@ -128,6 +130,14 @@
 	return out
 }
 
+// silentAfter returns how long a member may be silent, 0 for one that is not known.
+func (t *Table) silentAfter(name string) time.Duration {
+	if m := t.members[name]; m != nil {
+		return m.silentAfter()
+	}
+	return 0
+}
+
 // Known returns how many members are known, alive or silent, the VM itself
 // included.
 func (t *Table) Known() int { return len(t.members) + 1 }
--- a/process/runner/moves_test.go
+++ b/process/runner/moves_test.go
@@ -212,6 +212,10 @@
 		await(t, "connections beyond the usable ones are closed", func() bool { return one.Connections() <= usable })
 		assert.Equal(t, f.vms[i%4].ask(t, "POST", toUnsafe+"x", fmt.Sprintf("c-%d", i), nil).status, 200)
 	}
+	// One after the other, some before the target has seen the last one close.
+	for i := range 80 {
+		assert.Equal(t, f.vms[i%4].ask(t, "POST", toUnsafe+"x", fmt.Sprintf("d-%d", i), nil).status, 200)
+	}
 }
 
 // TestRelayReusedAddress never runs a request at a target of another service
--- a/process/runner/runner.go
+++ b/process/runner/runner.go
@@ -152,7 +152,7 @@
 		Suspended:     adapters.Suspended,
 	}, log.Named("control"), r.metrics)
 	var stopGate, stopCalls func()
-	peers := router.NewPeers()
+	peers := router.NewPeerLoads()
 	r.gate, stopGate = streamer.NewGate(admitter.New(router.New(peers), rand.Uint64), peers, r.control.State)
 	r.onStop(stopGate)
 	loads, stopTeller := teller.New(settings.Name(), adapters.Peers, r.others, r.gate, log.Named("load"))
--- a/request/placer/ledger.go
+++ b/request/placer/ledger.go
@@ -36,7 +36,7 @@
 // targets have done. It is not safe for concurrent use.
 type Ledger struct {
 	own      map[string]*load
-	peers    *Peers
+	peers    *PeerLoads
 	failures map[string]float64
 	sums     map[string]load
 	dirty    bool
@@ -51,7 +51,7 @@
 func NewLedger() *Ledger {
 	return &Ledger{
 		own:      map[string]*load{},
-		peers:    NewPeers(),
+		peers:    NewPeerLoads(),
 		failures: map[string]float64{},
 		sums:     map[string]load{},
 		cold:     map[string][]time.Duration{},
--- a/request/placer/peers.go
+++ b/request/placer/peers.go
@@ -10,53 +10,53 @@
 // several times a second.
 const peerStale = 3 * time.Second
 
-// Peers keeps what the other VMs have on the targets, as they told it. It is not
+// PeerLoads keeps what the other VMs have on the targets, as they told it. It is not
 // safe for concurrent use.
-type Peers struct {
-	told map[string]peerLoads
+type PeerLoads struct {
+	told map[string]heard
 	sums map[string]load
 	// stale is when the next of them may have been silent for too long.
 	stale time.Duration
 	dirty bool
 }
 
-type peerLoads struct {
+type heard struct {
 	at    time.Duration
 	loads map[string]load
 }
 
-// NewPeers returns the loads of no peers.
-func NewPeers() *Peers {
-	return &Peers{told: map[string]peerLoads{}, sums: map[string]load{}}
+// NewPeerLoads returns the loads of no peers.
+func NewPeerLoads() *PeerLoads {
+	return &PeerLoads{told: map[string]heard{}, sums: map[string]load{}}
 }
 
 // Hear takes a peer's loads, told at now. They replace what it told before.
-func (p *Peers) Hear(name string, loads []bluebelldoor.TargetLoad, now time.Duration) {
-	heard := peerLoads{at: now, loads: make(map[string]load, len(loads))}
+func (p *PeerLoads) Hear(name string, loads []bluebelldoor.TargetLoad, now time.Duration) {
+	told := heard{at: now, loads: make(map[string]load, len(loads))}
 	for _, t := range loads {
-		heard.loads[t.Target] = load{requests: t.Requests, tokens: t.Tokens, held: t.Held, prefill: t.Prefill}
+		told.loads[t.Target] = load{requests: t.Requests, tokens: t.Tokens, held: t.Held, prefill: t.Prefill}
 	}
-	p.told[name] = heard
+	p.told[name] = told
 	p.dirty = true
 }
 
 // Told reports whether a peer has told its loads of late, and forgets those that
 // have not.
-func (p *Peers) Told(name string, now time.Duration) bool {
+func (p *PeerLoads) Told(name string, now time.Duration) bool {
 	p.forget(now)
 	_, told := p.told[name]
 	return told
 }
 
 // On returns what the peers that told of late have on a target together.
-func (p *Peers) On(target string, now time.Duration) bluebelldoor.TargetLoad {
+func (p *PeerLoads) On(target string, now time.Duration) bluebelldoor.TargetLoad {
 	p.forget(now)
 	p.add()
 	sum := p.sums[target]
 	return bluebelldoor.TargetLoad{Target: target, Requests: sum.requests, Tokens: sum.tokens, Held: sum.held, Prefill: sum.prefill}
 }
 
-func (p *Peers) forget(now time.Duration) {
+func (p *PeerLoads) forget(now time.Duration) {
 	if now < p.stale {
 		return
 	}
@@ -72,7 +72,7 @@
 }
 
 // add brings the sums up to date, and reports whether they had changed.
-func (p *Peers) add() bool {
+func (p *PeerLoads) add() bool {
 	if !p.dirty {
 		return false
 	}
--- a/request/router/peers.go
+++ b/request/router/peers.go
@@ -12,23 +12,23 @@
 // what there is.
 const MostPeers = 16
 
-// Peers is what the other VMs have on the targets, as they told it. It is not
+// PeerLoads is what the other VMs have on the targets, as they told it. It is not
 // safe for concurrent use.
-type Peers struct {
+type PeerLoads struct {
 	epoch time.Time
-	loads *placer.Peers
+	loads *placer.PeerLoads
 }
 
-// NewPeers returns the loads of no peers.
-func NewPeers() *Peers { return &Peers{loads: placer.NewPeers()} }
+// NewPeerLoads returns the loads of no peers.
+func NewPeerLoads() *PeerLoads { return &PeerLoads{loads: placer.NewPeerLoads()} }
 
 // Hear takes a peer's loads, told at now.
-func (p *Peers) Hear(name string, loads []bluebelldoor.TargetLoad, now time.Time) {
+func (p *PeerLoads) Hear(name string, loads []bluebelldoor.TargetLoad, now time.Time) {
 	p.loads.Hear(name, loads, p.since(now))
 }
 
 // all reports whether each of the VMs has told its loads of late.
-func (p *Peers) all(vms []string, now time.Time) bool {
+func (p *PeerLoads) all(vms []string, now time.Time) bool {
 	if p == nil || len(vms) > MostPeers {
 		return false
 	}
@@ -42,14 +42,14 @@
 }
 
 // On returns what the peers that told their loads have on a target.
-func (p *Peers) On(target string, now time.Time) bluebelldoor.TargetLoad {
+func (p *PeerLoads) On(target string, now time.Time) bluebelldoor.TargetLoad {
 	if p == nil {
 		return bluebelldoor.TargetLoad{}
 	}
 	return p.loads.On(target, p.since(now))
 }
 
-func (p *Peers) since(now time.Time) time.Duration {
+func (p *PeerLoads) since(now time.Time) time.Duration {
 	if p.epoch.IsZero() {
 		p.epoch = now
 	}
--- a/request/router/router.go
+++ b/request/router/router.go
@@ -116,12 +116,12 @@
 
 // Router is the chooser of the system. Without peers it goes by the targets'
 // reports alone.
-type Router struct{ peers *Peers }
+type Router struct{ peers *PeerLoads }
 
 var _ Chooser = Router{}
 
 // New returns a router that goes by what peers tell as well.
-func New(peers *Peers) Router { return Router{peers} }
+func New(peers *PeerLoads) Router { return Router{peers} }
 
 // Choose implements Chooser. It allocates nothing.
 func (r Router) Choose(t *Table, model string, d Demand, now time.Time, random uint64) *Candidate {
@@ -154,7 +154,7 @@
 	table  *Table
 	demand Demand
 	now    time.Time
-	peers  *Peers
+	peers  *PeerLoads
 	// told tells that all other VMs have said what they have on the targets.
 	told bool
 	best *Candidate
--- a/request/streamer/gate.go
+++ b/request/streamer/gate.go
@@ -20,7 +20,7 @@
 type Gate struct {
 	mu       sync.Mutex
 	admitter *admitter.Admitter
-	peers    *router.Peers
+	peers    *router.PeerLoads
 	started  func()
 	waiting  map[string]chan admitter.Decision
 	state    func() *controller.State
@@ -29,7 +29,7 @@
 
 // NewGate returns a gate and a clean-up function that stops its ticks. The
 // admitter's router goes by peers.
-func NewGate(a *admitter.Admitter, peers *router.Peers, state func() *controller.State) (*Gate, func()) {
+func NewGate(a *admitter.Admitter, peers *router.PeerLoads, state func() *controller.State) (*Gate, func()) {
 	g := &Gate{admitter: a, peers: peers, started: func() {}, waiting: map[string]chan admitter.Decision{}, state: state}
 	stop := make(chan struct{})
 	done := make(chan struct{})
--- a/standin/rater/decider.go
+++ b/standin/rater/decider.go
@@ -39,14 +39,14 @@
 	vm       *vm
 	admitter *admitter.Admitter
 	loads    map[string]*router.Load
-	peers    *router.Peers
+	peers    *router.PeerLoads
 	// telling tells that the other VMs are about to hear of this one's loads.
 	telling bool
 	told    time.Duration
 }
 
 func newAdmitting(b *bench, v *vm) *admitting {
-	peers := router.NewPeers()
+	peers := router.NewPeerLoads()
 	var chooser router.Chooser = router.New(peers)
 	var options []admitter.Option
 	switch b.run.Policy {
