Registrar: news that there is none is no silence of the platform

Cause: an outage was taken for one by the time between two answers that brought something. A VM that leaves reading to its peers hears for seconds that nothing has changed; the next entry that went was then kept as lapsed for 2.5 s, and work went to a target that was gone.

Ruled out: evidence that runs out (peers answer within a round; TestReadsAlone), and the reader itself, whose watches end each 0.7 s.

Now the age of the evidence tells. TestQuietPeers: "quiet for five seconds" failed before (the target was still open after its entry had gone), an outage of 4 s is one before and after.

--- a/process/registrar/book.go
+++ b/process/registrar/book.go
@@ -35,8 +35,7 @@
 	out     map[string]string
 	pending []notice
 
-	answered time.Duration
-	lapsing  time.Duration
+	lapsing time.Duration
 }
 
 func newBook(decode func(bluebelldoor.Record) bluebelldoor.Change, log hclog.Logger) *book {
@@ -59,13 +58,13 @@
 
 func (b *book) notify(t *Target, why string) { b.pending = append(b.pending, notice{t, why}) }
 
-// apply takes an answer into force and reports whether the view changes.
-func (b *book) apply(p bluebelldoor.Published, now time.Duration) bool {
-	if b.answered > 0 && now-b.answered > outageAfter {
+// apply takes an answer into force and reports whether the view changes. silence
+// is the age of the newest proof of what the platform holds, 0 if there was none.
+func (b *book) apply(p bluebelldoor.Published, now, silence time.Duration) bool {
+	if silence > outageAfter {
 		b.lapsing = now + lapseFor
-		b.log.Info("platform was silent", "forMs", (now - b.answered).Milliseconds(), "lapsedUntilMs", lapseFor.Milliseconds())
+		b.log.Info("platform was silent", "forMs", silence.Milliseconds(), "lapsedUntilMs", lapseFor.Milliseconds())
 	}
-	b.answered = now
 	changed := b.expire(now)
 	present := map[string]bool{}
 	for _, e := range p.Records {
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -33,8 +33,8 @@
 	// lookAgain is how often a VM that leaves reading to its peers looks at the
 	// age of its evidence.
 	lookAgain = 100 * time.Millisecond
-	// outageAfter is the silence of the platform after which entries that have
-	// gone may be back: targets renew them about every second.
+	// outageAfter is the age of the evidence from which on entries that have gone
+	// may be back: targets renew them about every second.
 	outageAfter = 2500 * time.Millisecond
 	// lapseFor is how long after an outage missing entries may come back; the
 	// platform's pages say about two seconds.
@@ -232,7 +232,8 @@
 func (r *Registrar) fromPlatform(p bluebelldoor.Published, asked time.Duration) {
 	before := r.book.revision
 	r.gap.Store(false)
-	changed := r.book.apply(p, r.clock.Now())
+	silence, _ := r.Evidence()
+	changed := r.book.apply(p, r.clock.Now(), silence)
 	r.publish(changed)
 	if p.Revision >= r.book.revision {
 		r.prove(asked)
@@ -270,11 +271,12 @@
 				return
 			}
 			r.gap.Store(false)
+			silence, _ := r.Evidence()
 			r.publish(r.book.apply(bluebelldoor.Published{
 				Revision: news.Revision,
 				Whole:    news.Base == 0,
 				Records:  news.Records,
-			}, r.clock.Now()))
+			}, r.clock.Now(), silence))
 		})
 	}
 	if answer && news.EvidenceAgeMs >= 0 && news.Revision == r.Revision() {
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -303,6 +303,41 @@
 	})
 }
 
+// TestQuietPeers lets a VM that reads nothing itself hear from a peer, for longer
+// than an outage takes, that nothing has changed. A target that goes then has gone:
+// the platform was not silent, and the entry will not be back.
+func TestQuietPeers(t *testing.T) {
+	const round = 500 * time.Millisecond
+	for name, c := range map[string]struct {
+		quiet  time.Duration // the peer confirms what is held
+		silent time.Duration // then it does not
+		open   bool
+	}{
+		"news at once":           {0, 0, false},
+		"quiet for five seconds": {5 * time.Second, 0, false},
+		"an outage":              {5 * time.Second, 4 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newCatalogue()
+				store.put("t/x", "ready")
+				v := start(t, store, false)
+				synctest.Wait()
+				assert.Assert(t, v.open("x"))
+				store.fail(errors.New("only the peer reads"))
+				for range c.quiet / round {
+					time.Sleep(round)
+					v.Receive(t.Context(), bluebelldoor.RecordDelta{Base: 2, Revision: 2, EvidenceAgeMs: 100}, v.clock.Now(), true)
+				}
+				time.Sleep(c.silent)
+				gone := bluebelldoor.Record{Key: "t/x", Revision: 3, Gone: true}
+				v.Receive(t.Context(), bluebelldoor.RecordDelta{Base: 2, Revision: 3, Records: []bluebelldoor.Record{gone}, EvidenceAgeMs: 100}, v.clock.Now(), true)
+				assert.Equal(t, v.open("x"), c.open)
+			})
+		})
+	}
+}
+
 // TestEvidence counts its age from the moment of asking, also over a
 // suspension of the VM, and knows none while the platform is silent.
 func TestEvidence(t *testing.T) {
