Logs: one line a round on members, one for the targets of a start

Now a round writes one line with the count and up to five names, and an answer that brings more than eight targets one with the count by service. TestSilent counts the lines that name a dead VM, as before.

--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -267,16 +268,61 @@
 				// The dead take the others for silent as well; they are cut off.
 				alive := c.vms - c.dead
 				for _, d := range dead {
-					assert.Check(t, strings.Count(out.String(), "member silent: vm="+d) >= alive, "%s", d)
+					assert.Check(t, linesWith(out.String(), "members silent", d) >= alive, "%s", d)
 				}
 				if c.dead == 0 {
-					assert.Check(t, strings.Count(out.String(), "member silent") == 0, "%d lines", strings.Count(out.String(), "member silent"))
+					assert.Check(t, linesWith(out.String(), "members silent") == 0, "%d lines", linesWith(out.String(), "members silent"))
 				}
 			})
 		})
 	}
 }
 
+// linesWith counts the lines that hold all of the words.
+func linesWith(log string, words ...string) int {
+	n := 0
+	for line := range strings.Lines(log) {
+		if !slices.ContainsFunc(words, func(w string) bool { return !strings.Contains(line, w) }) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestLogBounded bounds the lines on members that a large fleet logs while all its
+// VMs start at once, and when a data centre of it dies: a line a round at most, not
+// one for each member on each VM.
+func TestLogBounded(t *testing.T) {
+	const vms, dataCentres, starting, dying = 300, 5, 5 * time.Second, 10 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		var mu sync.Mutex
+		lines := func() int {
+			mu.Lock()
+			defer mu.Unlock()
+			defer out.Reset()
+			return linesWith(out.String(), "member")
+		}
+		n := newNetwork()
+		n.log = hclog.New(&hclog.LoggerOptions{Output: &out, Mutex: &mu})
+		stops := n.fleet(uniform(vms, dataCentres), nil)
+		defer func() { stopAll(stops) }()
+		time.Sleep(starting)
+		// Four rounds a second.
+		started := lines()
+		assert.Check(t, started <= vms*4*int(starting/time.Second), "%d lines at the start", started)
+		n.mu.Lock()
+		for i := range vms {
+			n.cut[name(i)] = i%dataCentres == 0
+		}
+		n.mu.Unlock()
+		time.Sleep(dying)
+		died := lines()
+		assert.Check(t, died <= vms*4*int(dying/time.Second), "%d lines when a data centre dies", died)
+		t.Logf("%d lines at the start, %d when a data centre dies", started, died)
+	})
+}
+
 // TestStandbysKnown lets each VM that serves know all members, though who stands by
 // asks the VMs of its own data centre only.
 func TestStandbysKnown(t *testing.T) {
--- a/process/gossiper/state.go
+++ b/process/gossiper/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bluebelldoor"
@@ -76,12 +77,16 @@
 	g.note(s)
 }
 
-// note logs who came and who fell silent, and when that last changed. VMs that
-// stand by are not told of each other, and watch only those that serve. A mutex is
-// held but for New.
+// namedInLog bounds the members that a log line names; it counts the others.
+const namedInLog = 5
+
+// note logs who came and who fell silent, one line each a round, and notes when
+// that last changed. VMs that stand by are not told of each other, and watch only
+// those that serve. A mutex is held but for New.
 func (g *Gossiper) note(s *state) {
 	beat := g.table.Self().Heartbeat
 	now, alive := map[string]bool{}, map[string]bool{}
+	var came, silent []string
 	for _, m := range s.alive {
 		alive[m.Name] = true
 		if !s.isHub && !serves(m) {
@@ -90,7 +95,7 @@
 		now[m.Name] = serves(m)
 		before, noted := g.noted[m.Name]
 		if !noted {
-			g.log.Info("member alive", "vm", m.Name, "incarnation", m.Incarnation, "known", s.known)
+			came = append(came, m.Name)
 		}
 		if !noted || before != now[m.Name] {
 			g.changed = beat
@@ -102,8 +107,20 @@
 		}
 		g.changed = beat
 		if !alive[name] {
-			g.log.Warn("member silent", "vm", name, "limitMs", g.table.silentAfter(name).Milliseconds())
+			silent = append(silent, name)
 		}
 	}
 	g.noted = now
+	if len(came) > 0 {
+		g.log.Info("members alive", "count", len(came), "vms", named(came), "known", s.known, "serving", len(s.hubs))
+	}
+	if len(silent) > 0 {
+		g.log.Warn("members silent", "count", len(silent), "vms", named(silent), "known", s.known, "serving", len(s.hubs))
+	}
+}
+
+// named returns the members that a log line names, in order.
+func named(members []string) []string {
+	slices.Sort(members)
+	return members[:min(len(members), namedInLog)]
 }
--- a/process/gossiper/table.go
+++ b/process/gossiper/table.go
@@ -130,14 +130,6 @@
 	return out
 }
 
-// silentAfter returns how long a member may be silent, 0 for one that is not known.
-func (t *Table) silentAfter(name string) time.Duration {
-	if m := t.members[name]; m != nil {
-		return m.silentAfter()
-	}
-	return 0
-}
-
 // Known returns how many members are known, alive or silent, the VM itself
 // included.
 func (t *Table) Known() int { return len(t.members) + 1 }
--- a/process/registrar/book.go
+++ b/process/registrar/book.go
@@ -12,6 +12,9 @@
 // lacks more is sent everything.
 const maxRemoved = 512
 
+// registeredLines bounds the lines on new targets in one answer of the platform.
+const registeredLines = 8
+
 // notice is a target that takes no new work any more.
 type notice struct {
 	target *Target
@@ -34,6 +37,8 @@
 	targets map[string]*Target
 	out     map[string]string
 	pending []notice
+	// registered are the targets that an answer has brought, for the log.
+	registered []*bluebelldoor.Instance
 
 	lapsing time.Duration
 }
@@ -79,9 +84,28 @@
 		}
 	}
 	b.revision = max(b.revision, p.Revision)
+	b.logRegistered()
 	return changed
 }
 
+// logRegistered logs the targets that an answer has brought: a line each, or one
+// for all where they are many, as at a start.
+func (b *book) logRegistered() {
+	registered := b.registered
+	b.registered = nil
+	if len(registered) > registeredLines {
+		count := map[string]int{}
+		for _, i := range registered {
+			count[i.Service]++
+		}
+		b.log.Info("targets registered", "count", len(registered), "byService", count, "revision", b.revision)
+		return
+	}
+	for _, i := range registered {
+		b.log.Info("target registered", "target", i.ID, "service", i.Service, "dataCentre", i.DataCentre, "coldMs", i.ColdFor.Milliseconds(), "leaving", i.Leaving)
+	}
+}
+
 // take applies one entry unless a newer state of it is held.
 func (b *book) take(e bluebelldoor.Record, now time.Duration) bool {
 	if held, ok := b.entries[e.Key]; ok && held.Revision >= e.Revision {
@@ -181,7 +205,7 @@
 		if before != nil && !before.Leaving {
 			b.notify(before, "restarted")
 		}
-		b.log.Info("target registered", "target", i.ID, "service", i.Service, "dataCentre", i.DataCentre, "coldMs", i.ColdFor.Milliseconds(), "leaving", i.Leaving)
+		b.registered = append(b.registered, i)
 	case i.Leaving && !before.Leaving:
 		b.notify(t, "leaving")
 	}
