Who serves is decided by callers' traffic

Cause: a VM stepped in to serve while four times the processor time that those that serve use was more than they have. Most of that time is what they tell each other, which grows with the square of their number: where a step of the code is dear, more serve, tell each other more, and so on.

Now requests, events and bytes of callers are counted (process/assessor), each at a fixed processor time, and the share of the link.

--- a/fleet.go
+++ b/fleet.go
@@ -17,14 +17,23 @@
 	Leaving       bool   `cbor:"leaving"`
 	// Hub tells that the VM serves callers; the others stand by.
 	Hub bool `cbor:"hub"`
-	// Capacity is the processor time that the VM may use, in cores, and Use
-	// what it used lately.
+	// Capacity is the processor time that the VM may use, in cores, and Use what
+	// callers' traffic took of it lately. What VMs tell each other is not in it.
 	Capacity float64 `cbor:"capacity"`
 	Use      float64 `cbor:"use"`
 	// Revision is that of the platform's entries that the VM holds.
 	Revision uint64 `cbor:"revision"`
 }
 
+// Traffic counts what callers have asked of a VM since its process's start.
+type Traffic struct {
+	Requests uint64
+	// Events are those of streams, as they were passed on.
+	Events uint64
+	// Bytes are those of answers' bodies, as they were passed on.
+	Bytes uint64
+}
+
 // TargetLoad is what one VM has on one target.
 type TargetLoad struct {
 	Target   string `cbor:"target"`
--- /dev/null
+++ b/process/assessor/assessor_test.go
@@ -0,0 +1,66 @@
+package assessor_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bluebelldoor"
+	"bluebelldoor/process/assessor"
+)
+
+// TestUse takes what is counted of callers' traffic, in rounds of a quarter of a
+// second, for what it uses of a VM.
+func TestUse(t *testing.T) {
+	const round, cores, link = 250 * time.Millisecond, 0.4, 10e6
+	second := func(requests, events, bytes uint64) bluebelldoor.Traffic {
+		return bluebelldoor.Traffic{Requests: requests, Events: events, Bytes: bytes}
+	}
+	for name, c := range map[string]struct {
+		seconds []bluebelldoor.Traffic
+		want    float64
+	}{
+		"none":                     {[]bluebelldoor.Traffic{{}, {}}, 0},
+		"calls":                    {repeat(second(40, 0, 0), 10), 0.02},
+		"events":                   {repeat(second(0, 1000, 0), 10), 0.04},
+		"both":                     {repeat(second(40, 1000, 0), 10), 0.06},
+		"a quarter of the link":    {repeat(second(40, 0, 312_500), 10), 0.1},
+		"little of the link":       {repeat(second(40, 0, 3_000), 10), 0.02},
+		"a second after the last":  {append(repeat(second(40, 0, 0), 10), bluebelldoor.Traffic{}), 0.01},
+		"a second after the first": {append(repeat(second(0, 0, 0), 10), second(40, 0, 0)), 0.01},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := assessor.New(cores, link)
+			now, sum := time.Hour, bluebelldoor.Traffic{}
+			got := a.Use(sum, now)
+			for _, s := range c.seconds {
+				for range time.Second / round {
+					now += round
+					sum.Requests += s.Requests / 4
+					sum.Events += s.Events / 4
+					sum.Bytes += s.Bytes / 4
+					got = a.Use(sum, now)
+				}
+			}
+			assert.Assert(t, math.Abs(got-c.want) < 0.0005, "%.4f", got)
+		})
+	}
+}
+
+func repeat(t bluebelldoor.Traffic, n int) []bluebelldoor.Traffic {
+	out := make([]bluebelldoor.Traffic, n)
+	for i := range out {
+		out[i] = t
+	}
+	return out
+}
+
+// TestShort keeps the rate where counts come too soon after each other to take one
+// from: a hurried round must not make a lone request look like a rush.
+func TestShort(t *testing.T) {
+	a := assessor.New(0.4, 0)
+	a.Use(bluebelldoor.Traffic{}, time.Hour)
+	assert.Equal(t, a.Use(bluebelldoor.Traffic{Requests: 1}, time.Hour+time.Millisecond), 0.0)
+}
--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -41,6 +41,27 @@
 	whole   map[string]int
 	last    map[[2]string]time.Time
 	longest time.Duration
+	// calls are how many exchanges a VM has had a part in, and rates what that was
+	// in a second of late.
+	calls map[string]int
+	rates map[string]callRate
+}
+
+// callRate is how many exchanges a VM had in the second before last.
+type callRate struct {
+	at     time.Time
+	calls  int
+	second float64
+}
+
+// callRate returns how many exchanges a second a VM has of late. A mutex is held.
+func (n *network) callRate(vm string) float64 {
+	r := n.rates[vm]
+	if passed := time.Since(r.at); passed >= time.Second {
+		r = callRate{time.Now(), n.calls[vm], float64(n.calls[vm]-r.calls) / passed.Seconds()}
+		n.rates[vm] = r
+	}
+	return r.second
 }
 
 var errCut = errors.New("cut off")
@@ -69,6 +90,8 @@
 func (f from) exchanged(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.calls[f.name]++
+	f.calls[address]++
 	pair := [2]string{min(f.name, address), max(f.name, address)}
 	f.exchanges[pair]++
 	if at, before := f.last[pair]; before {
@@ -147,6 +170,7 @@
 	return &network{
 		vms: map[string]*gossiper.Gossiper{}, cut: map[string]bool{}, bytes: map[string]int{},
 		log: hclog.NewNullLogger(), exchanges: map[[2]string]int{}, whole: map[string]int{}, last: map[[2]string]time.Time{},
+		calls: map[string]int{}, rates: map[string]callRate{},
 	}
 }
 
--- a/process/gossiper/hubs.go
+++ b/process/gossiper/hubs.go
@@ -13,8 +13,8 @@
 	// larger, and fewestLarge how many larger ones are enough.
 	large       = 2
 	fewestLarge = 2
-	// headroom is how many times the processor time in use the VMs that serve
-	// callers have together; above plenty times, some step back.
+	// headroom is how many times what callers' traffic takes the VMs that serve
+	// have together; above plenty times, some step back.
 	headroom = 4
 	plenty   = 8
 )
--- a/process/runner/entry.go
+++ b/process/runner/entry.go
@@ -42,11 +42,7 @@
 	s.Ready = r.serving()
 	s.Leaving = r.life.MustState() != Serving
 	s.Revision = r.registrar.Revision()
-	use, err := r.meter.Cores(r.adapters.Clock.Now())
-	if err != nil {
-		r.log.Warn("processor time not known", "error", err)
-	}
-	s.Use = use
+	s.Use = r.assessor.Use(r.relayer.Traffic(), r.adapters.Clock.Now())
 }
 
 // reads reports whether this VM reads the platform on behalf of its peers: the
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -12,12 +12,12 @@
 	"bluebelldoor/connection/exchanger"
 	"bluebelldoor/connection/listener"
 	"bluebelldoor/connection/messenger"
+	"bluebelldoor/process/assessor"
 	"bluebelldoor/process/budgeter"
 	"bluebelldoor/process/gossiper"
 	"bluebelldoor/process/prober"
 	"bluebelldoor/process/recorder"
 	"bluebelldoor/process/registrar"
-	"bluebelldoor/process/timer"
 	"bluebelldoor/process/turner"
 	"bluebelldoor/request/relayer"
 )
@@ -56,7 +56,7 @@
 	relayer   *relayer.Relayer
 	budget    *budgeter.Budgeter
 	acceptor  *acceptor.Acceptor
-	meter     timer.Meter
+	assessor  *assessor.Assessor
 	cleanUps  []func()
 }
 
@@ -64,6 +64,7 @@
 // it at once; use Drain before it for a planned stop.
 func NewRelay(settings *bluebelldoor.RelaySettings, adapters RelayAdapters, log hclog.Logger) (*Relay, func(), error) {
 	r := &Relay{settings: settings, adapters: adapters, log: log, life: newLife(), metrics: recorder.NewRelayMetrics()}
+	r.assessor = assessor.New(settings.Cores, settings.LinkMegabits*1e6)
 	peers := messenger.New([]byte(settings.FleetSecret))
 	r.registrar = registrar.New(adapters.Catalogue, adapters.Clock, registrar.Role{
 		Reads:   r.reads,
--- a/relaysettings.go
+++ b/relaysettings.go
@@ -29,6 +29,8 @@
 	MemoryMegabytes int
 	// Cores is the processor time that the process may use, in cores.
 	Cores float64
+	// LinkMegabits is what the VM's link carries, in Mbit/s, 0 if not known.
+	LinkMegabits float64
 	// StopWithin is the time between the word to stop and the end.
 	StopWithin time.Duration
 	// AddressValidFor is how long a caller may keep an answer of the directory.
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -62,6 +62,7 @@
 	sources  Sources
 	clock    bluebelldoor.Clock
 	log      hclog.Logger
+	traffic  traffic
 	leaving  atomic.Bool
 	closed   atomic.Bool
 
@@ -149,6 +150,7 @@
 
 // Serve takes a caller's request to its final answer.
 func (r *Relayer) Serve(ctx context.Context, call *acceptor.Call) {
+	r.traffic.requests.Add(1)
 	j := &job{Relayer: r, ctx: ctx, call: call, arrived: r.clock.Now(), excluded: map[string]bool{}}
 	var err error
 	j.request, err = r.Codec.Request(call.Request, call.Body)
@@ -272,5 +274,6 @@
 		j.note("caller left", bluebelldoor.CallerGone, err.Error(), "target", t.ID)
 		return
 	}
+	j.traffic.passed(0, len(body))
 	j.note("answered", bluebelldoor.OK, "", "target", t.ID, "status", head.StatusCode)
 }
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -229,6 +229,7 @@
 	}
 	s.clocked()
 	first := s.made == 0
+	s.job.traffic.passed(s.events.count-s.made, len(whole))
 	s.mu.Lock()
 	s.made = s.events.count
 	s.mu.Unlock()
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -198,6 +198,7 @@
 		if err = j.call.Write(buffer[:n]); err != nil {
 			break
 		}
+		j.traffic.passed(0, n)
 		if errors.Is(failed, io.EOF) {
 			j.finish(t)
 			return
--- a/version/parser/relay.go
+++ b/version/parser/relay.go
@@ -21,6 +21,7 @@
 	"memoryMegabytes":  whole(32, 1<<20).must(),
 	"cpuShare":         schema{kind: number, max: 1024}.must(),
 	"cores":            schema{kind: number, max: 1024}.must(),
+	"linkMegabits":     {kind: number, max: 1 << 20},
 	"stopWithin":       span(time.Second, time.Hour).must(),
 	"addressValidFor":  span(0, time.Hour).must(),
 	"keyEvidence":      span(100*time.Millisecond, time.Hour).must(),
@@ -47,6 +48,7 @@
 	MemoryMegabytes  int      `json:"memoryMegabytes"`
 	CPUShare         float64  `json:"cpuShare"`
 	Cores            float64  `json:"cores"`
+	LinkMegabits     float64  `json:"linkMegabits"`
 	StopWithin       string   `json:"stopWithin"`
 	AddressValidFor  string   `json:"addressValidFor"`
 	KeyEvidence      string   `json:"keyEvidence"`
@@ -83,6 +85,7 @@
 		LogLevel:         w.LogLevel,
 		MemoryMegabytes:  w.MemoryMegabytes,
 		Cores:            w.CPUShare * w.Cores,
+		LinkMegabits:     w.LinkMegabits,
 		StopWithin:       parsed(w.StopWithin, 0),
 		AddressValidFor:  parsed(w.AddressValidFor, 0),
 		KeyEvidence:      parsed(w.KeyEvidence, 0),
