Gossiper: who serves is found without all stepping in; old news keeps nobody alive

Cause (start): a VM that knew of none that serves stepped in at once. 295 VMs find each other before they have read the platform, and get ready in the same moment: up to 251 of them served, told each other of all members, and read the platform. Cause (mass failure): the same, 282 of 280 + 15, when all that serve die; besides, what was told of the dead at second hand counted as heard of just then, so that they lived on for up to 2.5 s more on some VMs.

Now those that go first in the order that all VMs know (by capacity, then by rendezvous hashing, of their data centre) step in at once, the others after one to two seconds, and ask the first ones meanwhile. What is told at second hand carries its age. A VM that steps back tells so, and others tell it on for 3 s. All members are told only to those that know of fewer.

Ruled out: an order by random delays alone (before): the delay is shorter than the way of the news. An order over VMs that are heard of: those that stand by do not hear of each other.

--- a/fleet.go
+++ b/fleet.go
@@ -23,6 +23,8 @@
 	Use      float64 `cbor:"use"`
 	// Revision is that of the platform's entries that the VM holds.
 	Revision uint64 `cbor:"revision"`
+	// AgeMs is how long ago, in ms, the VM itself told this, where another tells it.
+	AgeMs int64 `cbor:"ageMs,omitempty"`
 }
 
 // Traffic counts what callers have asked of a VM since its process's start.
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -43,9 +43,11 @@
 	// serve tell each other directly. Of more, those of the own data centre go
 	// first: work goes to near targets.
 	fanOut = 16
-	// longestTakeover bounds how long a VM that is missing among those that
-	// serve waits for another to step in.
-	longestTakeover = 1500 * time.Millisecond
+	// soonestTakeover and longestTakeover bound how long a VM that is missing among
+	// those that serve waits for one that goes before it, which may have noticed as
+	// much later as it asks less often than in each round.
+	soonestTakeover = (leafRounds + 1) * round
+	longestTakeover = 2 * soonestTakeover
 	// hubShare is the part of what all VMs may send that belongs to those that
 	// serve; the rest is for those that stand by.
 	hubShare = 0.8
@@ -100,6 +102,9 @@
 	// it is not, and takeoverDelay how long it waits for another to step in.
 	neededSince   time.Duration
 	takeoverDelay time.Duration
+	// steppedBack is the round in which the VM last ceased to serve, 0 if it never
+	// did.
+	steppedBack uint64
 }
 
 // New returns a gossiper for the VM that says self of itself.
@@ -178,23 +183,32 @@
 		}
 	}
 	switch {
-	case s.isHub:
+	case s.isHub || g.steppedBack > 0 && beat-g.steppedBack < 2:
 		members := []bluebelldoor.MemberState{self}
 		now := g.clock.Now()
 		changed := beat-g.changed < 2
 		full := now-g.lastFull >= fullEvery || changed
-		switch {
-		case changed:
-			// Parts of a fleet that find each other learn of all at once.
-			members = g.all()
-		case full:
+		if full {
+			g.lastFull = now
 			members = g.vouched(s, now)
 		}
+		to := g.hubsToTell(s.hubs, hurried, full)
 		if full {
-			g.lastFull = now
+			to = append(to, g.notServing(s, now)...)
+		}
+		for _, hub := range to {
+			if changed && g.table.Knows(hub.Name) < s.known {
+				// Parts of a fleet that find each other learn of all at once.
+				add(hub, g.all())
+			} else {
+				add(hub, members)
+			}
 		}
-		for _, hub := range g.hubsToTell(s.hubs, hurried, full) {
-			add(hub, members)
+	case g.neededSince > 0:
+		for _, m := range first(g.table.Able(g.clock.Now())) {
+			if m.DataCentre == self.DataCentre {
+				add(m, []bluebelldoor.MemberState{self})
+			}
 		}
 	case beat%leafRounds == 0 || beat-g.changed < 2:
 		if hub := g.nearHub(s.hubs, beat/leafRounds); hub != nil {
@@ -209,6 +223,12 @@
 	return out
 }
 
+// notServing returns the members that are the first to serve and that are not known
+// to: they may have stepped in, and know of no others either. A mutex is held.
+func (g *Gossiper) notServing(s *state, now time.Duration) []bluebelldoor.MemberState {
+	return slices.DeleteFunc(first(g.table.Able(now)), func(m bluebelldoor.MemberState) bool { return has(s.hubs, m.Name) })
+}
+
 // hubsToTell returns which of those that serve are told in a round, fanOut of them
 // at most. A mutex is held.
 func (g *Gossiper) hubsToTell(all []bluebelldoor.MemberState, hurried, full bool) []bluebelldoor.MemberState {
@@ -273,27 +293,32 @@
 	if !s.isHub && len(s.hubs) > 0 {
 		return nil
 	}
-	known := map[string]bool{g.table.Self().PeerAddress: true}
+	self := g.table.Self()
+	known := map[string]bool{self.PeerAddress: true}
 	for _, m := range s.alive {
 		known[m.PeerAddress] = true
 	}
 	var out []recipient
-	members := g.all()
 	for _, seed := range g.seeds {
 		if !known[seed] {
-			out = append(out, recipient{"", seed, 0, members})
+			out = append(out, recipient{"", seed, 0, g.all()})
 		}
 	}
-	if n := len(s.alive); n > 0 {
-		m := s.alive[rand.IntN(n)]
-		if m.PeerAddress != g.table.Self().PeerAddress {
-			out = append(out, recipient{m.Name, m.PeerAddress, m.Revision, members})
+	try := func(members []bluebelldoor.MemberState) {
+		if len(members) == 0 {
+			return
+		}
+		m := members[rand.IntN(len(members))]
+		switch {
+		case m.PeerAddress == self.PeerAddress:
+		case g.table.Knows(m.Name) < s.known:
+			out = append(out, recipient{m.Name, m.PeerAddress, m.Revision, g.all()})
+		default:
+			out = append(out, recipient{m.Name, m.PeerAddress, m.Revision, []bluebelldoor.MemberState{self}})
 		}
 	}
-	if silent := g.table.Silent(g.clock.Now()); len(silent) > 0 {
-		m := silent[rand.IntN(len(silent))]
-		out = append(out, recipient{m.Name, m.PeerAddress, m.Revision, members})
-	}
+	try(s.alive)
+	try(g.table.Silent(g.clock.Now()))
 	return out
 }
 
@@ -303,9 +328,20 @@
 // vouched returns those that serve and those that this VM has heard from
 // themselves of late. Who stands by is told of by the VMs that it asks.
 func (g *Gossiper) vouched(s *state, now time.Duration) []bluebelldoor.MemberState {
-	out := g.selfFirst(s.hubs)
+	out := g.serving(s, now)
 	for _, m := range g.table.Direct(now) {
-		if !serves(m) {
+		if !serves(m) && !has(out, m.Name) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// serving returns the VM itself, those that serve and those that stepped back of late.
+func (g *Gossiper) serving(s *state, now time.Duration) []bluebelldoor.MemberState {
+	out := g.selfFirst(s.hubs)
+	for _, m := range g.table.Turned(now) {
+		if !has(out, m.Name) {
 			out = append(out, m)
 		}
 	}
@@ -376,19 +412,20 @@
 	if in.HeldOf != g.table.Self().Incarnation {
 		in.Held = 0
 	}
-	g.table.Hold(in.From, in.Held)
+	g.table.Hold(in.From, in.Held, in.Known)
 }
 
 // answerTo returns the members that a peer is told of in answer. A mutex is held.
 func (g *Gossiper) answerTo(peer string, known bool) []bluebelldoor.MemberState {
 	s := g.state.Load()
+	settling := g.table.Self().Heartbeat-g.changed < settleRounds
 	switch {
-	case !known, g.table.Self().Heartbeat-g.changed < settleRounds:
+	case !known, settling && g.table.Knows(peer) < s.known:
 		return g.all()
-	case slices.ContainsFunc(s.hubs, func(m bluebelldoor.MemberState) bool { return m.Name == peer }):
+	case has(s.hubs, peer) && !settling:
 		return []bluebelldoor.MemberState{g.table.Self()}
 	}
-	return g.selfFirst(s.hubs)
+	return g.serving(s, g.clock.Now())
 }
 
 // Exchange answers a peer: one that serves is told of the VM itself, one that
--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -310,7 +310,7 @@
 					assert.Check(t, linesWith(out.String(), "members silent", d) >= alive, "%s", d)
 				}
 				if c.dead == 0 {
-					assert.Check(t, linesWith(out.String(), "members silent") == 0, "%d lines", linesWith(out.String(), "members silent"))
+					assert.Check(t, linesWith(out.String(), "members silent") == 0, "%d lines, of\n%s", linesWith(out.String(), "members silent"), out.String())
 				}
 			})
 		})
--- a/process/gossiper/hubs.go
+++ b/process/gossiper/hubs.go
@@ -1,6 +1,9 @@
 package gossiper
 
 import (
+	"maps"
+	"slices"
+
 	"bluebelldoor"
 	"bluebelldoor/process/ranker"
 )
@@ -51,6 +54,32 @@
 	return capacity < headroom*use
 }
 
+// first returns the members of each data centre that are the first to serve, of those
+// that are able to, ready or not yet. All VMs know them before any serves.
+func first(able []bluebelldoor.MemberState) []bluebelldoor.MemberState {
+	byDataCentre := map[string][]bluebelldoor.MemberState{}
+	for _, m := range able {
+		if m.Leaving {
+			continue
+		}
+		earliest := byDataCentre[m.DataCentre]
+		at := 0
+		for at < len(earliest) && before(earliest[at], m) {
+			at++
+		}
+		if at < hubsPerDataCentre {
+			earliest = slices.Insert(earliest, at, m)
+			byDataCentre[m.DataCentre] = earliest[:min(len(earliest), hubsPerDataCentre)]
+		}
+	}
+	return slices.Concat(slices.Collect(maps.Values(byDataCentre))...)
+}
+
+// has reports whether a member of that name is among members.
+func has(members []bluebelldoor.MemberState, name string) bool {
+	return slices.ContainsFunc(members, func(m bluebelldoor.MemberState) bool { return m.Name == name })
+}
+
 // before reports whether a goes before b: by capacity, then by rendezvous
 // hashing.
 func before(a, b bluebelldoor.MemberState) bool {
--- a/process/gossiper/serving_test.go
+++ b/process/gossiper/serving_test.go
@@ -24,7 +24,7 @@
 		generations               = 160 // a second, of all callers
 		// exchangeTime is the processor time of one exchange on each side.
 		exchangeTime = 1200 * time.Microsecond
-		second = 12
+		second       = 12
 	)
 	for name, c := range map[string]struct {
 		talkCounts bool
@@ -69,6 +69,121 @@
 	}
 }
 
+// TestColdStart starts the large deployment: its VMs find each other, and get ready in
+// the same moment. Those that serve are found within a second, and no more take
+// themselves for one than the first few. Then all that serve die: others are found
+// within two seconds after that has shown.
+func TestColdStart(t *testing.T) {
+	const dataCentres, large, small, readyAfter, spread = 5, 3, 56, 2 * time.Second, 300 * time.Millisecond
+	const enough = dataCentres * large
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		began := time.Now()
+		stops := n.sizes(dataCentres, large, small, func(_ string, _ float64, h *gossiper.Hooks) {
+			ready := readyAfter + rand.N(spread)
+			h.Describe = func(m *bluebelldoor.MemberState) { m.Ready, m.Use = time.Since(began) >= ready, 0.01 }
+		})
+		defer func() { stopAll(stops) }()
+		time.Sleep(readyAfter)
+		most := n.mostServing(spread + time.Second)
+		assert.Check(t, most <= 2*enough, "%d VMs took themselves for one that serves", most)
+		assert.Check(t, len(n.disagreeing(enough)) == 0, "%d VMs do not know those that serve", len(n.disagreeing(enough)))
+
+		time.Sleep(5 * time.Second)
+		n.mu.Lock()
+		for i := range enough {
+			n.cut[name(i)] = true
+		}
+		n.mu.Unlock()
+		most = n.mostServing(2500*time.Millisecond + 2*time.Second)
+		// The dead go on for themselves.
+		assert.Check(t, most <= 3*enough, "%d VMs took themselves for one that serves", most)
+		assert.Check(t, len(n.disagreeing(enough)) == 0, "%d VMs do not know those that serve", len(n.disagreeing(enough)))
+		views := map[int]int{}
+		for vm, g := range n.vms {
+			if !n.cut[vm] {
+				views[len(g.Hubs())]++
+			}
+		}
+		t.Logf("VMs by how many they know to serve: %v; %d serve", views, n.mostServing(time.Millisecond))
+	})
+}
+
+// mostServing returns how many VMs take themselves for one that serves at most,
+// within a time.
+func (n *network) mostServing(within time.Duration) int {
+	most := 0
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		serving := 0
+		for _, g := range n.vms {
+			if g.IsHub() {
+				serving++
+			}
+		}
+		most = max(most, serving)
+	}
+	return most
+}
+
+// disagreeing returns the VMs that are not cut off and know another number of VMs that
+// serve than want, or others than most do.
+func (n *network) disagreeing(want int) []string {
+	views := map[string][]string{}
+	for vm, g := range n.vms {
+		if !n.cut[vm] {
+			view := fmt.Sprint(hubNames(g))
+			views[view] = append(views[view], vm)
+		}
+	}
+	agreed := ""
+	for view, vms := range views {
+		if len(vms) > len(views[agreed]) {
+			agreed = view
+		}
+	}
+	var out []string
+	for view, vms := range views {
+		if view != agreed || len(hubNames(n.vms[vms[0]])) != want {
+			out = append(out, vms...)
+		}
+	}
+	return out
+}
+
+// TestOldNews tells a VM of a member at second hand: it counts as heard of when it told
+// that itself. Else the last heartbeat of a dead VM, which reaches others late and by
+// several ways, would keep it alive and in the directory.
+func TestOldNews(t *testing.T) {
+	const now = time.Hour
+	state := func(beat uint64, age time.Duration) bluebelldoor.MemberState {
+		return bluebelldoor.MemberState{Name: "dead", Heartbeat: beat, Hub: true, Ready: true, AgeMs: age.Milliseconds()}
+	}
+	for name, c := range map[string]struct {
+		first, second bluebelldoor.MemberState
+		later         time.Duration
+		alive         bool
+	}{
+		"fresh news, a second later":       {state(1, 0), state(2, 0), time.Second, true},
+		"old news, a second later":         {state(1, 0), state(2, 2*time.Second), time.Second, true},
+		"old news, three seconds later":    {state(1, 0), state(2, 2*time.Second), 3 * time.Second, false},
+		"old news only, at once":           {state(1, 2*time.Second), state(2, 2*time.Second), 0, true},
+		"old news only, a second later":    {state(1, 2*time.Second), state(2, 2*time.Second), time.Second, false},
+		"news that is too old to be alive": {state(1, 4*time.Second), state(2, 4*time.Second), 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := gossiper.NewTable(bluebelldoor.MemberState{Name: "self"})
+			table.Merge("other", []bluebelldoor.MemberState{c.first}, now)
+			table.Merge("other", []bluebelldoor.MemberState{c.second}, now)
+			alive := table.Alive(now + c.later)
+			assert.Equal(t, len(alive) == 2, c.alive)
+			if c.alive {
+				// Told on, it is as old as it is here.
+				assert.Equal(t, alive[0].AgeMs, max(0, min(c.first.AgeMs, c.second.AgeMs))+c.later.Milliseconds())
+			}
+		})
+	}
+}
+
 // name0 is the first VM of a fleet.
 var name0 = name(0)
 
--- a/process/gossiper/state.go
+++ b/process/gossiper/state.go
@@ -41,19 +41,20 @@
 	}
 }
 
-// stand decides whether the VM itself serves. One that is missing waits a
-// while, lest all that stand by step in at once. A mutex is held but for New.
+// stand decides whether the VM itself serves. One that is missing and not among the
+// first of those that could serve waits a while, lest all that stand by step in at
+// once. A mutex is held but for New.
 func (g *Gossiper) stand(hubs []bluebelldoor.MemberState) bool {
 	self, now := g.table.Self(), g.clock.Now()
 	switch needed := self.Ready && !self.Leaving && Needed(self, hubs); {
 	case !needed:
 		g.neededSince = 0
 		return false
-	case self.Hub || len(hubs) == 0:
+	case self.Hub || has(first(g.table.Able(now)), self.Name):
 		return true
 	case g.neededSince == 0:
 		g.neededSince = now
-		g.takeoverDelay = time.Duration(rand.Int64N(int64(longestTakeover)))
+		g.takeoverDelay = soonestTakeover + time.Duration(rand.Int64N(int64(longestTakeover-soonestTakeover)))
 	}
 	return now-g.neededSince >= g.takeoverDelay
 }
@@ -69,6 +70,9 @@
 		}
 	}
 	s.isHub = g.stand(s.hubs)
+	if g.table.self.Hub && !s.isHub {
+		g.steppedBack = g.table.self.Heartbeat
+	}
 	g.table.self.Hub = s.isHub
 	if s.isHub {
 		s.hubs = append(s.hubs, g.table.Self())
--- a/process/gossiper/table.go
+++ b/process/gossiper/table.go
@@ -20,6 +20,9 @@
 	// directFor is how long a member counts as heard from itself: a VM that stands
 	// by asks each of the VMs of its data centre that serve in turn.
 	directFor = 3 * time.Second
+	// turnedFor is how long others are told of a member that stepped back: one that
+	// serves and is not heard of for aliveFor is taken for silent.
+	turnedFor = 3 * time.Second
 	// forgetAfter is how long a dead member is kept: old news of it must not
 	// bring it back, and a VM that is cut off must not take the others' part
 	// of what all may send.
@@ -35,10 +38,21 @@
 	// held is the heartbeat of its loads that this VM holds, and holds that of this
 	// VM's loads that it holds, 0 for none.
 	held, holds uint64
+	// turned is when it was heard to serve or to step back, after the other.
+	turned time.Duration
+	// knows is of how many members it has said that it knows.
+	knows int
 }
 
 func (m *member) alive(now time.Duration) bool { return now-m.heard <= m.silentAfter() }
 
+// told returns the state as others are told of it.
+func (m *member) told(now time.Duration) bluebelldoor.MemberState {
+	s := m.state
+	s.AgeMs = (now - m.heard).Milliseconds()
+	return s
+}
+
 func (m *member) silentAfter() time.Duration {
 	if m.state.Hub {
 		return aliveFor
@@ -112,13 +126,22 @@
 	}
 }
 
-// Hold notes up to which heartbeat a member holds this VM's loads, 0 for none.
-func (t *Table) Hold(name string, beat uint64) {
+// Hold notes up to which heartbeat a member holds this VM's loads, 0 for none, and of
+// how many members it knows.
+func (t *Table) Hold(name string, beat uint64, knows int) {
 	if m := t.members[name]; m != nil {
-		m.holds = beat
+		m.holds, m.knows = beat, knows
 	}
 }
 
+// Knows returns of how many members a member has said that it knows.
+func (t *Table) Knows(name string) int {
+	if m := t.members[name]; m != nil {
+		return m.knows
+	}
+	return 0
+}
+
 // Holds returns up to which heartbeat a member holds this VM's loads, 0 for none.
 func (t *Table) Holds(name string) uint64 {
 	if m := t.members[name]; m != nil {
@@ -132,14 +155,18 @@
 	known := t.members[s.Name]
 	switch {
 	case known == nil:
-		known = &member{direct: -directFor}
+		known = &member{direct: -directFor, heard: -forgetAfter}
 		t.members[s.Name] = known
 	case s.Incarnation > known.state.Incarnation:
-		known.held, known.holds = 0, 0
+		known.held, known.holds, known.knows = 0, 0, 0
 	case s.Incarnation < known.state.Incarnation || s.Heartbeat <= known.state.Heartbeat:
 		return false
+	case serves(s) != serves(known.state):
+		known.turned = now
 	}
-	known.state, known.heard = s, now
+	// Old news must not make a member look alive for longer.
+	known.heard = max(known.heard, now-time.Duration(s.AgeMs)*time.Millisecond)
+	known.state = s
 	if direct {
 		known.direct = now
 	}
@@ -169,6 +196,30 @@
 	var out []bluebelldoor.MemberState
 	for _, m := range t.members {
 		if now-m.direct <= directFor {
+			out = append(out, m.told(now))
+		}
+	}
+	return out
+}
+
+// Turned returns the members that began to serve or stepped back of late.
+func (t *Table) Turned(now time.Duration) []bluebelldoor.MemberState {
+	var out []bluebelldoor.MemberState
+	for _, m := range t.members {
+		if m.turned > 0 && now-m.turned <= turnedFor {
+			out = append(out, m.told(now))
+		}
+	}
+	return out
+}
+
+// Able returns the members that may be able to serve, the VM itself included: those
+// that are alive, and, where it stands by, those that stand by too. Of these it does
+// not hear, and their silence tells nothing.
+func (t *Table) Able(now time.Duration) []bluebelldoor.MemberState {
+	out := []bluebelldoor.MemberState{t.self}
+	for _, m := range t.members {
+		if m.alive(now) || !t.self.Hub && !m.state.Hub && !m.state.Leaving {
 			out = append(out, m.state)
 		}
 	}
@@ -180,7 +231,7 @@
 	out := []bluebelldoor.MemberState{t.self}
 	for _, m := range t.members {
 		if m.alive(now) {
-			out = append(out, m.state)
+			out = append(out, m.told(now))
 		}
 	}
 	slices.SortFunc(out, func(a, b bluebelldoor.MemberState) int { return strings.Compare(a.Name, b.Name) })
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -81,7 +81,7 @@
 	}, settings.Seeds, adapters.Clock, peers, gossiper.Hooks{
 		Describe: r.describe,
 		Loads:    func() []bluebelldoor.TargetLoad { return r.relayer.Loads() },
-		Told: func(peer string, news bluebelldoor.LoadDelta) bool { return r.relayer.PeerLoads(peer, news) },
+		Told:     func(peer string, news bluebelldoor.LoadDelta) bool { return r.relayer.PeerLoads(peer, news) },
 		Delta:    r.registrar.Delta,
 		Receive:  r.registrar.Receive,
 	}, log.Named("gossiper"))
