--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -175,44 +175,20 @@
 
 // recipients returns the peers of this round. A mutex is held.
 func (g *Gossiper) recipients(hurried bool) []recipient {
-	beat, self, s := g.table.Self().Heartbeat, g.table.Self(), g.state.Load()
+	beat, s := g.table.Self().Heartbeat, g.state.Load()
+	alone := []bluebelldoor.MemberState{g.table.Self()}
 	var out []recipient
-	add := func(m bluebelldoor.MemberState, members []bluebelldoor.MemberState) {
-		if m.PeerAddress != self.PeerAddress {
-			out = append(out, recipient{m.Name, m.PeerAddress, m.Revision, members})
-		}
-	}
 	switch {
 	case s.isHub || g.steppedBack > 0 && beat-g.steppedBack < 2:
-		members := []bluebelldoor.MemberState{self}
-		now := g.clock.Now()
-		changed := beat-g.changed < 2
-		full := now-g.lastFull >= fullEvery || changed
-		if full {
-			g.lastFull = now
-			members = g.vouched(s, now)
-		}
-		to := g.hubsToTell(s.hubs, hurried, full)
-		if full {
-			to = append(to, g.notServing(s, now)...)
-		}
-		for _, hub := range to {
-			if changed && g.table.Knows(hub.Name) < s.known {
-				// Parts of a fleet that find each other learn of all at once.
-				add(hub, g.all())
-			} else {
-				add(hub, members)
-			}
-		}
+		out = g.fromHub(s, hurried)
 	case g.neededSince > 0:
-		for _, m := range first(g.table.Able(g.clock.Now())) {
-			if m.DataCentre == self.DataCentre {
-				add(m, []bluebelldoor.MemberState{self})
-			}
+		near, _ := g.split(first(g.table.Able(g.clock.Now())))
+		for _, m := range near {
+			out = g.add(out, m, alone)
 		}
 	case beat%leafRounds == 0 || beat-g.changed < 2:
 		if hub := g.nearHub(s.hubs, beat/leafRounds); hub != nil {
-			add(*hub, []bluebelldoor.MemberState{self})
+			out = g.add(out, *hub, alone)
 		}
 	}
 	// While members come and go, parts of a fleet are finding each other.
@@ -223,6 +199,37 @@
 	return out
 }
 
+// add returns the recipients and a member, unless that is the VM itself.
+func (g *Gossiper) add(to []recipient, m bluebelldoor.MemberState, members []bluebelldoor.MemberState) []recipient {
+	if m.PeerAddress == g.table.Self().PeerAddress {
+		return to
+	}
+	return append(to, recipient{m.Name, m.PeerAddress, m.Revision, members})
+}
+
+// fromHub returns whom a VM that serves tells in a round. A mutex is held.
+func (g *Gossiper) fromHub(s *state, hurried bool) []recipient {
+	now := g.clock.Now()
+	changed := g.table.Self().Heartbeat-g.changed < 2
+	full := now-g.lastFull >= fullEvery || changed
+	to, members := g.hubsToTell(s.hubs, hurried, full), []bluebelldoor.MemberState{g.table.Self()}
+	if full {
+		g.lastFull = now
+		members = g.vouched(s, now)
+		to = append(to, g.notServing(s, now)...)
+	}
+	var out []recipient
+	for _, m := range to {
+		if changed && g.table.Knows(m.Name) < s.known {
+			// Parts of a fleet that find each other learn of all at once.
+			out = g.add(out, m, g.all())
+		} else {
+			out = g.add(out, m, members)
+		}
+	}
+	return out
+}
+
 // notServing returns the members that are the first to serve and that are not known
 // to: they may have stepped in, and know of no others either. A mutex is held.
 func (g *Gossiper) notServing(s *state, now time.Duration) []bluebelldoor.MemberState {
@@ -293,8 +300,7 @@
 	if !s.isHub && len(s.hubs) > 0 {
 		return nil
 	}
-	self := g.table.Self()
-	known := map[string]bool{self.PeerAddress: true}
+	known := map[string]bool{g.table.Self().PeerAddress: true}
 	for _, m := range s.alive {
 		known[m.PeerAddress] = true
 	}
@@ -304,22 +310,20 @@
 			out = append(out, recipient{"", seed, 0, g.all()})
 		}
 	}
-	try := func(members []bluebelldoor.MemberState) {
-		if len(members) == 0 {
-			return
-		}
-		m := members[rand.IntN(len(members))]
-		switch {
-		case m.PeerAddress == self.PeerAddress:
-		case g.table.Knows(m.Name) < s.known:
-			out = append(out, recipient{m.Name, m.PeerAddress, m.Revision, g.all()})
-		default:
-			out = append(out, recipient{m.Name, m.PeerAddress, m.Revision, []bluebelldoor.MemberState{self}})
-		}
+	out = g.try(out, s, s.alive)
+	return g.try(out, s, g.table.Silent(g.clock.Now()))
+}
+
+// try returns the recipients and one of the members at random, if there is any.
+func (g *Gossiper) try(to []recipient, s *state, members []bluebelldoor.MemberState) []recipient {
+	if len(members) == 0 {
+		return to
 	}
-	try(s.alive)
-	try(g.table.Silent(g.clock.Now()))
-	return out
+	m := members[rand.IntN(len(members))]
+	if g.table.Knows(m.Name) < s.known {
+		return g.add(to, m, g.all())
+	}
+	return g.add(to, m, []bluebelldoor.MemberState{g.table.Self()})
 }
 
 // all returns every member that is alive, the VM itself first.
--- a/process/gossiper/serving_test.go
+++ b/process/gossiper/serving_test.go
@@ -14,14 +14,21 @@
 	"bluebelldoor/process/gossiper"
 )
 
+// The VMs of each of the data centres of the large deployment, and how many of all
+// are enough to serve.
+const (
+	dataCentres, large, smallAtSize = 5, 3, 56
+	enough                          = dataCentres * large
+)
+
 // TestWhoServes plays five data centres with three large VMs each, beside many small
 // ones, where each step takes four times as long as usual. What VMs tell each other
 // grows with the square of those that serve: where that counts as use, more VMs serve,
 // tell each other more, and so on, until all do. Callers' traffic does not grow so.
 func TestWhoServes(t *testing.T) {
 	const (
-		dataCentres, large, small = 5, 3, 15
-		generations               = 160 // a second, of all callers
+		small       = 15
+		generations = 160 // a second, of all callers
 		// exchangeTime is the processor time of one exchange on each side.
 		exchangeTime = 1200 * time.Microsecond
 		second       = 12
@@ -31,8 +38,8 @@
 		fewest     int
 		most       int
 	}{
-		"callers' traffic":   {false, dataCentres * large, dataCentres * (large + 1)},
-		"all processor time": {true, 2 * dataCentres * large, dataCentres * (large + small)},
+		"callers' traffic":   {false, enough, enough + dataCentres},
+		"all processor time": {true, 2 * enough, enough + dataCentres*small},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -74,12 +81,11 @@
 // themselves for one than the first few. Then all that serve die: others are found
 // within two seconds after that has shown.
 func TestColdStart(t *testing.T) {
-	const dataCentres, large, small, readyAfter, spread = 5, 3, 56, 2 * time.Second, 300 * time.Millisecond
-	const enough = dataCentres * large
+	const readyAfter, spread = 2 * time.Second, 300 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
 		began := time.Now()
-		stops := n.sizes(dataCentres, large, small, func(_ string, _ float64, h *gossiper.Hooks) {
+		stops := n.sizes(dataCentres, large, smallAtSize, func(_ string, _ float64, h *gossiper.Hooks) {
 			ready := readyAfter + rand.N(spread)
 			h.Describe = func(m *bluebelldoor.MemberState) { m.Ready, m.Use = time.Since(began) >= ready, 0.01 }
 		})
@@ -87,7 +93,7 @@
 		time.Sleep(readyAfter)
 		most := n.mostServing(spread + time.Second)
 		assert.Check(t, most <= 2*enough, "%d VMs took themselves for one that serves", most)
-		assert.Check(t, len(n.disagreeing(enough)) == 0, "%d VMs do not know those that serve", len(n.disagreeing(enough)))
+		assert.Check(t, len(n.disagreeing()) == 0, "%d VMs do not know those that serve", len(n.disagreeing()))
 
 		time.Sleep(5 * time.Second)
 		n.mu.Lock()
@@ -98,7 +104,7 @@
 		most = n.mostServing(2500*time.Millisecond + 2*time.Second)
 		// The dead go on for themselves.
 		assert.Check(t, most <= 3*enough, "%d VMs took themselves for one that serves", most)
-		assert.Check(t, len(n.disagreeing(enough)) == 0, "%d VMs do not know those that serve", len(n.disagreeing(enough)))
+		assert.Check(t, len(n.disagreeing()) == 0, "%d VMs do not know those that serve", len(n.disagreeing()))
 		views := map[int]int{}
 		for vm, g := range n.vms {
 			if !n.cut[vm] {
@@ -125,9 +131,9 @@
 	return most
 }
 
-// disagreeing returns the VMs that are not cut off and know another number of VMs that
-// serve than want, or others than most do.
-func (n *network) disagreeing(want int) []string {
+// disagreeing returns the VMs that are not cut off and know other VMs to serve than most
+// do, and all if those are not as many as are enough.
+func (n *network) disagreeing() []string {
 	views := map[string][]string{}
 	for vm, g := range n.vms {
 		if !n.cut[vm] {
@@ -143,7 +149,7 @@
 	}
 	var out []string
 	for view, vms := range views {
-		if view != agreed || len(hubNames(n.vms[vms[0]])) != want {
+		if view != agreed || len(hubNames(n.vms[vms[0]])) != enough {
 			out = append(out, vms...)
 		}
 	}
