Assessor: what a request and an event take, rounded up from measurements

Cause: 0.5 ms and 0.04 ms were put down without a run. With too little, fewer VMs serve than four times the traffic asks for, where three a data centre do not suffice.

Now 1 ms and 0.1 ms.

--- a/process/assessor/assessor.go
+++ b/process/assessor/assessor.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// requestTime and eventTime bound from above the processor time that a request
-	// and an event of a stream take (docs/CAPACITY.md, Callers' traffic).
-	requestTime = 500 * time.Microsecond
-	eventTime   = 40 * time.Microsecond
+	// requestTime and eventTime are the processor time that a request
+	// and an event of a stream take, rounded up (docs/CAPACITY.md).
+	requestTime = time.Millisecond
+	eventTime   = 100 * time.Microsecond
 	// halfLife is how fast earlier traffic is forgotten: slower than bursts of some
 	// hundred ms, faster than VMs that stand by step in.
 	halfLife = time.Second
--- a/process/assessor/assessor_test.go
+++ b/process/assessor/assessor_test.go
@@ -23,13 +23,13 @@
 		want    float64
 	}{
 		"none":                     {[]bluebelldoor.Traffic{{}, {}}, 0},
-		"calls":                    {tenTimes(second(40, 0, 0)), 0.02},
-		"events":                   {tenTimes(second(0, 1000, 0)), 0.04},
-		"both":                     {tenTimes(second(40, 1000, 0)), 0.06},
-		"a quarter of the link":    {tenTimes(second(40, 0, 312_500)), 0.1},
-		"little of the link":       {tenTimes(second(40, 0, 3_000)), 0.02},
-		"a second after the last":  {append(tenTimes(second(40, 0, 0)), bluebelldoor.Traffic{}), 0.01},
-		"a second after the first": {append(tenTimes(second(0, 0, 0)), second(40, 0, 0)), 0.01},
+		"calls":                    {tenTimes(second(20, 0, 0)), 0.02},
+		"events":                   {tenTimes(second(0, 400, 0)), 0.04},
+		"both":                     {tenTimes(second(20, 400, 0)), 0.06},
+		"a quarter of the link":    {tenTimes(second(20, 0, 312_500)), 0.1},
+		"little of the link":       {tenTimes(second(20, 0, 3_000)), 0.02},
+		"a second after the last":  {append(tenTimes(second(20, 0, 0)), bluebelldoor.Traffic{}), 0.01},
+		"a second after the first": {append(tenTimes(second(0, 0, 0)), second(20, 0, 0)), 0.01},
 	} {
 		t.Run(name, func(t *testing.T) {
 			a := assessor.New(cores, link)
