Registrar: watches end often enough for the evidence that keys need

Cause: evidence counts from the start of a watch and is renewed at the end of the next, 0.7 s each: it gets 1.4 s old where nothing changes. Settings with less for keys (the tests' 1.2 s) refuse keyed requests each time.

Now a watch takes a quarter of what keys allow at most. For the deployments played that is 0.94 s, more than the 0.7 s of before, so nothing changes there. TestEvidenceFor.

--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -14,10 +14,13 @@
 )
 
 const (
-	// watchWait is how long a watch may stay without an answer. Only answers
-	// are evidence of what is in force, and keys need evidence that is a few
-	// seconds old at most.
+	// watchWait is how long a watch may stay without an answer, at most. Only
+	// answers are evidence of what is in force, and keys need evidence that is a
+	// few seconds old at most.
 	watchWait = 700 * time.Millisecond
+	// watchesInEvidence is how many watches may end while evidence is of use: it
+	// counts from the start of one and is renewed at the end of the next.
+	watchesInEvidence = 4
 	// retryFirst and retryMost bound the pause after a failed read.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
@@ -64,6 +67,8 @@
 	updates  chan func()
 	book     *book
 	started  time.Duration
+	// watchWait is that of this VM's settings.
+	watchWait time.Duration
 	// gap tells that news of a peer followed a revision that is not held.
 	gap atomic.Bool
 }
@@ -78,8 +83,17 @@
 	Changed func()
 }
 
+// Option changes a registrar.
+type Option func(*Registrar)
+
+// WithEvidenceFor makes watches end often enough for evidence that is of use for so
+// long.
+func WithEvidenceFor(d time.Duration) Option {
+	return func(r *Registrar) { r.watchWait = min(r.watchWait, d/watchesInEvidence) }
+}
+
 // New returns a registrar that has read nothing yet.
-func New(catalogue bluebelldoor.Catalogue, clock bluebelldoor.Clock, role Role, log hclog.Logger) *Registrar {
+func New(catalogue bluebelldoor.Catalogue, clock bluebelldoor.Clock, role Role, log hclog.Logger, options ...Option) *Registrar {
 	r := &Registrar{
 		catalogue: catalogue,
 		clock:     clock,
@@ -88,6 +102,10 @@
 		updates:   make(chan func()),
 		started:   clock.Now(),
 	}
+	r.watchWait = watchWait
+	for _, o := range options {
+		o(r)
+	}
 	r.book = newBook(catalogue.Decode, log)
 	r.view.Store(&View{})
 	r.evidence.Store(-1)
@@ -224,7 +242,7 @@
 
 func (r *Registrar) ask(ctx context.Context, history bool) (bluebelldoor.Published, error) {
 	if revision := r.Revision(); revision > 0 && history {
-		return r.catalogue.Watch(ctx, revision, watchWait)
+		return r.catalogue.Watch(ctx, revision, r.watchWait)
 	}
 	return r.catalogue.Read(ctx)
 }
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -151,14 +151,14 @@
 	return slices.Clone(v.gone)
 }
 
-func start(t *testing.T, c bluebelldoor.Catalogue, reads bool) *vm {
+func start(t *testing.T, c bluebelldoor.Catalogue, reads bool, options ...registrar.Option) *vm {
 	t.Helper()
 	v := &vm{clock: &steady{start: time.Now()}}
 	v.Registrar = registrar.New(c, v.clock, registrar.Role{
 		Reads:   func() bool { return reads },
 		Served:  func() bool { return false },
 		Changed: func() {},
-	}, hclog.NewNullLogger())
+	}, hclog.NewNullLogger(), options...)
 	v.Observe(func(t *registrar.Target) {
 		v.mu.Lock()
 		defer v.mu.Unlock()
@@ -360,6 +360,27 @@
 	})
 }
 
+// TestEvidenceFor keeps the evidence of a VM that reads, from a platform where nothing
+// changes, of use for as long as its keys need it, with what the way to peers takes.
+func TestEvidenceFor(t *testing.T) {
+	for name, c := range map[string]struct{ needed, most time.Duration }{
+		"seconds":        {3750 * time.Millisecond, 1400 * time.Millisecond},
+		"about a second": {1200 * time.Millisecond, 600 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v := start(t, newCatalogue(), true, registrar.WithEvidenceFor(c.needed))
+				synctest.Wait()
+				for range 500 {
+					time.Sleep(10 * time.Millisecond)
+					age, proved := v.Evidence()
+					assert.Assert(t, proved && age <= c.most, "%s", age)
+				}
+			})
+		})
+	}
+}
+
 // TestPeers shows what a VM takes from a peer, and what it takes as evidence.
 func TestPeers(t *testing.T) {
 	rec := func(key, value string, revision uint64) bluebelldoor.Record {
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -70,7 +70,7 @@
 		Reads:   r.reads,
 		Served:  func() bool { return !r.gossiper.IsHub() },
 		Changed: func() { r.gossiper.Hurry() },
-	}, log.Named("registrar"))
+	}, log.Named("registrar"), registrar.WithEvidenceFor(bounds(settings).KeyEvidence))
 	r.gossiper = gossiper.New(bluebelldoor.MemberState{
 		Name:          settings.Name,
 		Incarnation:   time.Now().UnixMilli(),
