--- a/process/gossiper/loads_test.go
+++ b/process/gossiper/loads_test.go
@@ -1,6 +1,7 @@
 package gossiper_test
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -9,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
 	"bluebelldoor"
@@ -185,3 +187,56 @@
 		t.Logf("%d bytes a second", sent)
 	})
 }
+
+// TestHearLoads takes changes of a member's loads only where those before are held.
+func TestHearLoads(t *testing.T) {
+	for name, c := range map[string]struct {
+		after []uint64 // of the tellings at heartbeats 1, 2, …
+		takes bool     // whether the loads can be taken
+		held  uint64
+	}{
+		"all":                      {[]uint64{0}, true, 1},
+		"changes after all":        {[]uint64{0, 1}, true, 2},
+		"changes without all":      {[]uint64{1}, true, 0},
+		"changes after a gap":      {[]uint64{0, 1, 3}, true, 2},
+		"changes that can't go in": {[]uint64{0, 1}, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := gossiper.NewTable(bluebelldoor.MemberState{Name: "self"})
+			for i, after := range c.after {
+				state := bluebelldoor.MemberState{Name: "peer", Incarnation: 7, Heartbeat: uint64(i + 1)}
+				table.Merge("peer", []bluebelldoor.MemberState{state}, time.Hour)
+				table.HearLoads("peer", bluebelldoor.LoadDelta{After: after}, func(string, bluebelldoor.LoadDelta) bool { return c.takes })
+			}
+			held, _ := table.Held("peer")
+			assert.Equal(t, held, c.held)
+		})
+	}
+}
+
+// TestHeldOfEarlierStart tells all loads to a peer that holds those of an earlier start
+// of the VM.
+func TestHeldOfEarlierStart(t *testing.T) {
+	for name, c := range map[string]struct {
+		of    int64
+		after uint64
+	}{
+		"this start":    {5, 3},
+		"earlier start": {4, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			self := bluebelldoor.MemberState{Name: "self", Incarnation: 5}
+			g := gossiper.New(self, nil, steady{time.Now().Add(-time.Hour)}, from{newNetwork(), "self"}, gossiper.Hooks{
+				Told: func(string, bluebelldoor.LoadDelta) bool { return true },
+				Delta: func(context.Context, uint64, bool) bluebelldoor.RecordDelta {
+					return bluebelldoor.RecordDelta{EvidenceAgeMs: -1}
+				},
+				Receive: func(context.Context, bluebelldoor.RecordDelta, time.Duration, bool) {},
+			}, hclog.NewNullLogger())
+			out := g.Exchange(t.Context(), &bluebelldoor.ExchangeMessage{
+				From: "peer", Members: []bluebelldoor.MemberState{{Name: "peer", Heartbeat: 1}}, Held: 3, HeldOf: c.of,
+			})
+			assert.Equal(t, out.Loads.After, c.after)
+		})
+	}
+}
