Targets' own word: Server-Leaving closes them, Retry-After pauses them

Nothing read either header: with the tests written first, requests went on to a target that said in its answers that it leaves, streams of other VMs were cut there, and 503 with a pause was followed by more requests.

Change: platform/ translates both into two facts of a target's answer. Each head that is read, of answers that are skipped, failures and control calls too, closes that start of the target until it is another one, whatever the platform says (an entry that was removed and came back opened it again before), and peers are told for 3 s. process/pauser keeps pauses by start, with a random fifth added; no request, try, copy or question goes there before. Where all targets of a service want a pause, callers are refused at once with its end.

Ruled out: the header of a 421, for another target may have the address; dates and nonsense in Retry-After are left out with a line.

--- a/cmd/bluebelldoor/relay.go
+++ b/cmd/bluebelldoor/relay.go
@@ -113,12 +113,10 @@
 		return nil, nil, err
 	}
 	store, closeStore := platform.NewStore(settings.Catalogue)
-	engines, closeEngines := platform.NewEngines()
 	r, cleanUp, err := runner.NewRelay(settings, runner.RelayAdapters{
 		Codec:          platform.Codec{},
 		Catalogue:      store,
-		Mover:          engines,
-		Reporter:       engines,
+		NewEngines:     newEngines,
 		Clock:          clock,
 		ServeReady:     platform.ServeReady,
 		ServeDirectory: platform.ServeDirectory,
@@ -130,10 +128,13 @@
 	return r, func() {
 		cleanUp()
 		closeStore()
-		closeEngines()
 	}, nil
 }
 
+func newEngines(l bluebelldoor.Listener) (bluebelldoor.EngineControl, func()) {
+	return platform.NewEngines(platform.WithListener(l))
+}
+
 // await returns at a signal to stop. Until then it takes changed settings into
 // force, at SIGHUP or when the file is seen to differ.
 func (c *relayCommand) await(signals <-chan os.Signal, r *runner.Relay, log hclog.Logger) {
--- a/code.go
+++ b/code.go
@@ -37,6 +37,7 @@
 	RetryBudget     Code = 210
 	EnginesCrowded  Code = 211
 	BodiesHeld      Code = 212
+	TargetsPaused   Code = 213
 
 	TargetLost      Code = 301
 	AnswerTruncated Code = 302
@@ -99,6 +100,7 @@
 	RetryBudget:       {"retryBudget", 503, "the retry budget is used up"},
 	EnginesCrowded:    {"enginesCrowded", 503, "no engine has room for the generation in its time"},
 	BodiesHeld:        {"bodiesHeld", 503, "this VM holds as many request bodies as it may"},
+	TargetsPaused:     {"targetsPaused", 503, "every target has asked this VM for a pause"},
 	TargetLost:        {"targetLost", 502, "the target was lost after tokens were delivered"},
 	AnswerTruncated:   {"answerTruncated", 502, "the target's answer ended early"},
 	OutcomeUnknown:    {"outcomeUnknown", 502, "the call may or may not have run"},
--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -46,6 +46,7 @@
 // Exchanger keeps connections to targets. It is safe for concurrent use.
 type Exchanger struct {
 	codec bluebelldoor.Codec
+	heard bluebelldoor.Listener
 	mu    sync.Mutex
 	idle  map[string][]*channel
 	opens int64
@@ -59,10 +60,22 @@
 	until time.Time
 }
 
+// Option changes an exchanger.
+type Option func(*Exchanger)
+
+// WithListener tells l what targets say in the head of each answer, those that
+// are skipped included.
+func WithListener(l bluebelldoor.Listener) Option {
+	return func(x *Exchanger) { x.heard = l }
+}
+
 // New returns an exchanger and a clean-up function that closes idle
 // connections.
-func New(codec bluebelldoor.Codec) (*Exchanger, func()) {
-	x := &Exchanger{codec: codec, idle: map[string][]*channel{}}
+func New(codec bluebelldoor.Codec, options ...Option) (*Exchanger, func()) {
+	x := &Exchanger{codec: codec, heard: func(*bluebelldoor.Instance, bluebelldoor.AnswerHead) {}, idle: map[string][]*channel{}}
+	for _, o := range options {
+		o(x)
+	}
 	return x, x.closeIdle
 }
 
@@ -251,6 +264,7 @@
 			continue
 		}
 		a.response, a.head = response, a.owner.codec.Answer(response)
+		a.owner.heard(a.target, a.head)
 		// A failure may come without an ID; a success must say whose it is.
 		unnamed := a.head.RequestID == "" && response.StatusCode >= http.StatusMultipleChoices
 		if unnamed || a.head.RequestID == o.ID {
--- a/connection/exchanger/exchanger_test.go
+++ b/connection/exchanger/exchanger_test.go
@@ -366,3 +366,45 @@
 		t.Fatal("the connection is still open")
 	}
 }
+
+// TestListener is told what a target says in each head: those of answers that are
+// skipped and of failures among them.
+func TestListener(t *testing.T) {
+	const leaving = "Server-Leaving: 1\r\n"
+	for name, c := range map[string]struct {
+		before, answer string // heads before the answer, and of it
+		leaving        int
+	}{
+		"an answer":               {"", "HTTP/1.1 200 OK\r\nAttempt-Id: 2\r\n" + leaving, 1},
+		"a failure":               {"", "HTTP/1.1 500 No\r\nAttempt-Id: 2\r\n" + leaving, 1},
+		"a failure without an ID": {"", "HTTP/1.1 502 No\r\n" + leaving, 1},
+		"a late answer":           {"HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\n" + leaving + "Content-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nAttempt-Id: 2\r\n", 1},
+		"another target's word":   {"", "HTTP/1.1 421 No\r\nAttempt-Id: 2\r\n" + leaving, 0},
+		"nothing said":            {"", "HTTP/1.1 200 OK\r\nAttempt-Id: 2\r\n", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			at, _ := target(t, func(n int, id string, conn net.Conn) {
+				if n == 1 {
+					_, _ = io.WriteString(conn, ok(id, ""))
+					return
+				}
+				_, _ = io.WriteString(conn, c.before+c.answer+"Content-Length: 0\r\n\r\n")
+			})
+			heard := 0
+			x, stop := exchanger.New(platform.Codec{}, exchanger.WithListener(func(from *bluebelldoor.Instance, head bluebelldoor.AnswerHead) {
+				assert.Equal(t, from, at)
+				if head.Leaving {
+					heard++
+				}
+			}))
+			defer stop()
+			for _, id := range []string{"1", "2"} {
+				a, err := x.Send(t.Context(), at, outgoing(id, false))
+				assert.NilError(t, err)
+				_, err = io.Copy(io.Discard, a)
+				assert.NilError(t, err)
+			}
+			assert.Equal(t, heard, c.leaving)
+		})
+	}
+}
--- a/fleet.go
+++ b/fleet.go
@@ -68,6 +68,9 @@
 	EvidenceAgeMs int64 `cbor:"evidenceAgeMs"`
 	// Want asks the receiver for everything: the sender lacks more than news.
 	Want bool `cbor:"want"`
+	// Leaving are the starts of targets that said of late, to the sender or to
+	// one that told it, that they leave.
+	Leaving []TargetStart `cbor:"leaving,omitempty"`
 }
 
 // ExchangeMessage carries the states of members and news of entries, both ways.
--- a/process/registrar/book.go
+++ b/process/registrar/book.go
@@ -15,6 +15,16 @@
 // registeredLines bounds the lines on new targets in one answer of the platform.
 const registeredLines = 8
 
+const (
+	// leftFor is how long it is kept that the start of a target leaves: longer
+	// than any target takes to leave.
+	leftFor = time.Hour
+	// leftTold is how long peers are told of it, some rounds of all VMs, and
+	// maxLeftTold how many are told at once.
+	leftTold    = 3 * time.Second
+	maxLeftTold = 32
+)
+
 // notice is a target that takes no new work any more.
 type notice struct {
 	target *Target
@@ -41,6 +51,9 @@
 	registered []*bluebelldoor.Instance
 
 	lapsing time.Duration
+	// left are the starts of targets that have said that they leave, and when the
+	// VM heard of it. They stay out whatever their entries say.
+	left map[bluebelldoor.TargetStart]time.Duration
 }
 
 func newBook(decode func(bluebelldoor.Record) bluebelldoor.Change, log hclog.Logger) *book {
@@ -50,6 +63,7 @@
 		entries: map[string]bluebelldoor.Record{},
 		targets: map[string]*Target{},
 		out:     map[string]string{},
+		left:    map[bluebelldoor.TargetStart]time.Duration{},
 	}
 }
 
@@ -193,7 +207,8 @@
 	t := &Target{Instance: i, ColdUntil: now + i.ColdFor}
 	before := b.targets[key]
 	same := before != nil && before.Born == i.Born && before.Address == i.Address
-	if same && before.Leaving {
+	_, left := b.left[i.Start()]
+	if left || same && before.Leaving {
 		// A target that has said that it leaves stays out.
 		leaving := *i
 		leaving.Leaving = true
@@ -206,25 +221,50 @@
 			b.notify(before, "restarted")
 		}
 		b.registered = append(b.registered, i)
-	case i.Leaving && !before.Leaving:
+	case t.Leaving && !before.Leaving:
 		b.notify(t, "leaving")
 	}
 	return true
 }
 
-// leaves takes a target's own word that it leaves.
-func (b *book) leaves(i *bluebelldoor.Instance) bool {
+// leaves takes a target's own word that it leaves, heard at now, and reports
+// whether it is news.
+func (b *book) leaves(start bluebelldoor.TargetStart, now time.Duration) bool {
+	if _, known := b.left[start]; known {
+		return false
+	}
+	b.forgetLeft(now)
+	b.left[start] = now
 	for key, t := range b.targets {
-		if t.ID != i.ID || t.Born != i.Born || t.Leaving {
+		if t.Start() != start || t.Leaving {
 			continue
 		}
 		leaving := *t.Instance
 		leaving.Leaving = true
 		b.targets[key] = &Target{Instance: &leaving, ColdUntil: t.ColdUntil, Lapsed: t.Lapsed}
 		b.notify(b.targets[key], "says that it leaves")
-		return true
 	}
-	return false
+	return true
+}
+
+// forgetLeft drops starts of targets that have ended long ago.
+func (b *book) forgetLeft(now time.Duration) {
+	for start, heard := range b.left {
+		if now-heard > leftFor {
+			delete(b.left, start)
+		}
+	}
+}
+
+// leftLately returns the starts that said so of late, for peers.
+func (b *book) leftLately(now time.Duration) []bluebelldoor.TargetStart {
+	var out []bluebelldoor.TargetStart
+	for start, heard := range b.left {
+		if now-heard <= leftTold && len(out) < maxLeftTold {
+			out = append(out, start)
+		}
+	}
+	return out
 }
 
 // remove drops a target. One whose entry has gone in an outage is kept for a
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -71,6 +71,10 @@
 	watchWait time.Duration
 	// gap tells that news of a peer followed a revision that is not held.
 	gap atomic.Bool
+	// leftLately are the starts of targets that have said of late that they leave.
+	leftLately atomic.Pointer[[]bluebelldoor.TargetStart]
+	// ended is closed when nobody owns the book any more.
+	ended chan struct{}
 }
 
 // Role is a VM's part in reading the platform.
@@ -101,6 +105,7 @@
 		role:      role,
 		updates:   make(chan func()),
 		started:   clock.Now(),
+		ended:     make(chan struct{}),
 	}
 	r.watchWait = watchWait
 	for _, o := range options {
@@ -160,6 +165,7 @@
 
 // control owns the book.
 func (r *Registrar) control(ctx context.Context) {
+	defer close(r.ended)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
@@ -169,7 +175,10 @@
 		case update := <-r.updates:
 			update()
 		case <-ticker.C:
-			r.publish(r.book.expire(r.clock.Now()))
+			now := r.clock.Now()
+			r.publish(r.book.expire(now))
+			lately := r.book.leftLately(now)
+			r.leftLately.Store(&lately)
 		}
 	}
 }
@@ -181,6 +190,7 @@
 	case r.updates <- func() { f(); close(done) }:
 		<-done
 	case <-ctx.Done():
+	case <-r.ended:
 	}
 }
 
@@ -274,6 +284,7 @@
 	if age, proved := r.Evidence(); proved {
 		out.EvidenceAgeMs = age.Milliseconds() + 1
 	}
+	out.Leaving = r.leaving()
 	out.Want = (now == 0 || r.gap.Load()) && r.clock.Now()-r.started > wantAfter
 	return out
 }
@@ -297,14 +308,43 @@
 			}, r.clock.Now(), silence))
 		})
 	}
+	if len(news.Leaving) > 0 {
+		r.leave(ctx, news.Leaving)
+	}
 	if answer && news.EvidenceAgeMs >= 0 && news.Revision == r.Revision() {
 		r.prove(asked - time.Duration(news.EvidenceAgeMs)*time.Millisecond)
 	}
 }
 
-// Leaves notes that a target itself says that it leaves.
+// Leaves notes that a target itself says that it leaves, and has peers told. It
+// returns when the view says so, and holds whatever the platform says of that
+// start of the target.
 func (r *Registrar) Leaves(ctx context.Context, t *bluebelldoor.Instance) {
-	r.do(ctx, func() { r.publish(r.book.leaves(t)) })
+	r.leave(ctx, []bluebelldoor.TargetStart{t.Start()})
+}
+
+func (r *Registrar) leave(ctx context.Context, starts []bluebelldoor.TargetStart) {
+	r.do(ctx, func() {
+		now, news := r.clock.Now(), false
+		for _, start := range starts {
+			news = r.book.leaves(start, now) || news
+		}
+		if !news {
+			return
+		}
+		lately := r.book.leftLately(now)
+		r.leftLately.Store(&lately)
+		r.publish(true)
+		r.role.Changed()
+	})
+}
+
+// leaving returns the starts of targets that peers are told of.
+func (r *Registrar) leaving() []bluebelldoor.TargetStart {
+	if lately := r.leftLately.Load(); lately != nil {
+		return *lately
+	}
+	return nil
 }
 
 func (r *Registrar) tell(t *Target, why string) {
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -15,6 +15,7 @@
 	"bluebelldoor/process/assessor"
 	"bluebelldoor/process/budgeter"
 	"bluebelldoor/process/gossiper"
+	"bluebelldoor/process/pauser"
 	"bluebelldoor/process/prober"
 	"bluebelldoor/process/recorder"
 	"bluebelldoor/process/registrar"
@@ -32,11 +33,12 @@
 
 // RelayAdapters reach what lies outside a VM that relays.
 type RelayAdapters struct {
-	Codec          bluebelldoor.Codec
-	Catalogue      bluebelldoor.Catalogue
-	Mover          bluebelldoor.Mover
-	Reporter       bluebelldoor.Reporter
-	Clock          bluebelldoor.Clock
+	Codec     bluebelldoor.Codec
+	Catalogue bluebelldoor.Catalogue
+	Clock     bluebelldoor.Clock
+	// NewEngines returns what makes the engines' control calls and tells l what
+	// they say in the heads of their answers, and a clean-up function.
+	NewEngines     func(l bluebelldoor.Listener) (bluebelldoor.EngineControl, func())
 	ServeReady     func(address string, ready func() bool) (func(), error)
 	ServeDirectory func(address string, entry func(dataCentre string) ([]string, time.Duration)) (func(), error)
 	// DroppedLines returns how many log lines were dropped; nil for none.
@@ -86,19 +88,24 @@
 		Receive:  r.registrar.Receive,
 	}, log.Named("gossiper"))
 	r.turner = turner.New(settings.Name, peers, r.turnKeepers, log.Named("turner"))
-	targets, closeTargets := exchanger.New(adapters.Codec)
+	heard := func(t *bluebelldoor.Instance, head bluebelldoor.AnswerHead) { r.relayer.Heard(t, head) }
+	targets, closeTargets := exchanger.New(adapters.Codec, exchanger.WithListener(heard))
 	r.onStop(closeTargets)
+	engines, closeEngines := adapters.NewEngines(heard)
+	r.onStop(closeEngines)
 	r.budget = budgeter.New(budget(settings))
 	r.relayer = relayer.New(bounds(settings), relayer.Sources{
 		View:     r.registrar.View,
 		Evidence: r.registrar.Evidence,
+		Leaves:   func(t *bluebelldoor.Instance) { r.registrar.Leaves(context.Background(), t) },
 		Share:    r.gossiper.Share,
 		Placed:   r.gossiper.Hurry,
 	}, relayer.Parts{
 		Codec:   adapters.Codec,
-		Mover:   adapters.Mover,
+		Mover:   engines,
 		Targets: targets,
 		Turns:   r.turner,
+		Pauses:  pauser.New(adapters.Clock, log.Named("pauser")),
 		Budget:  r.budget,
 		Metrics: r.metrics,
 	}, adapters.Clock, log.Named("relayer"))
@@ -113,7 +120,7 @@
 	}
 	r.onStop(r.registrar.Start())
 	r.onStop(r.gossiper.Start())
-	r.onStop(prober.New(adapters.Reporter, r.registrar, r.relayer.Streaming, log.Named("prober")))
+	r.onStop(prober.New(engines, r.registrar, r.relayer.Streaming, log.Named("prober")))
 	r.fire(ready)
 	log.Info("serving", "vm", settings.Name, "dataCentre", settings.DataCentre, "callers", settings.CallerAddress)
 	return r, r.cleanUp, nil
--- a/process/runner/relay_test.go
+++ b/process/runner/relay_test.go
@@ -129,20 +129,22 @@
 	clock, err := timer.New()
 	assert.NilError(t, err)
 	catalogue, closeCatalogue := platform.NewStore(r.settings.Catalogue)
-	engines, closeEngines := platform.NewEngines()
 	relay, stop, err := runner.NewRelay(r.settings, runner.RelayAdapters{
-		Codec: platform.Codec{}, Catalogue: catalogue, Mover: engines, Reporter: engines, Clock: clock,
+		Codec: platform.Codec{}, Catalogue: catalogue, Clock: clock, NewEngines: newEngines,
 		ServeReady: platform.ServeReady, ServeDirectory: platform.ServeDirectory,
 	}, keptLog(t, r.settings.Name))
 	assert.NilError(t, err)
 	r.Relay, r.stop = relay, func() {
 		stop()
 		closeCatalogue()
-		closeEngines()
 	}
 	t.Cleanup(func() { r.stop() })
 }
 
+func newEngines(l bluebelldoor.Listener) (bluebelldoor.EngineControl, func()) {
+	return platform.NewEngines(platform.WithListener(l))
+}
+
 // loggedTail is how many bytes of a VM's log a failed test prints, the last
 // ones.
 const loggedTail = 6_000
--- a/relay.go
+++ b/relay.go
@@ -57,6 +57,12 @@
 	Decode(e Record) Change
 }
 
+// TargetStart names one start of a target.
+type TargetStart struct {
+	ID   string `cbor:"id"`
+	Born int64  `cbor:"born"`
+}
+
 // Reporter asks targets what they say of themselves.
 type Reporter interface {
 	// Leaving reports whether the target is about to go.
@@ -106,8 +112,19 @@
 	NotExecuted bool
 	// IdleFor is how long the target keeps an idle connection, 0 if unsaid.
 	IdleFor time.Duration
+	// Leaving tells that the target that was asked takes no new work any more.
+	Leaving bool
+	// PauseFor is how long the target wants nothing more from this VM, 0 if it
+	// sets no pause.
+	PauseFor time.Duration
+	// Malformed names a field that can't be read and is left out, empty if there
+	// is none.
+	Malformed string
 }
 
+// Listener takes what a target says in the head of an answer. It must not block.
+type Listener func(t *Instance, head AnswerHead)
+
 // Codec translates between messages on the wire and the types of the product.
 type Codec interface {
 	// Request reads a caller's request.
@@ -144,6 +161,12 @@
 	Free(ctx context.Context, source *Instance, handle string) error
 }
 
+// EngineControl makes the control calls of engines.
+type EngineControl interface {
+	Mover
+	Reporter
+}
+
 // CopyError tells why a generation was not copied.
 type CopyError struct {
 	// Status is the engine's answer, 0 if it gave none.
--- a/request/relayer/admit.go
+++ b/request/relayer/admit.go
@@ -91,6 +91,9 @@
 	if !view.Open(t.Instance) {
 		return errClosed
 	}
+	if j.Pauses.Left(t.Instance) > 0 {
+		return errPaused
+	}
 	if j.call.Begun() {
 		return nil
 	}
--- a/request/relayer/admit_test.go
+++ b/request/relayer/admit_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
 	"bluebelldoor"
 	"bluebelldoor/connection/acceptor"
+	"bluebelldoor/process/pauser"
 	"bluebelldoor/process/registrar"
 )
 
@@ -44,3 +47,31 @@
 	assert.Equal(t, j.permit(target), errClosed)
 	assert.Equal(t, j.permitCopy(target), errClosed)
 }
+
+// published serves the entries of a catalogue as they were at the start.
+func published(t *testing.T, names string, clock bluebelldoor.Clock) *registrar.Registrar {
+	held := registrar.New(catalogue{names}, clock, registrar.Role{
+		Reads: func() bool { return true }, Served: func() bool { return false }, Changed: func() {},
+	}, hclog.NewNullLogger())
+	t.Cleanup(held.Start())
+	synctest.Wait()
+	return held
+}
+
+// TestPermitPaused lets no byte leave for a target that has asked for a pause since
+// it was chosen, until the pause is over.
+func TestPermitPaused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := steady{time.Now()}
+		held := published(t, "x", clock)
+		r := New(Settings{}, Sources{View: held.View, Evidence: held.Evidence}, Parts{Pauses: pauser.New(clock, hclog.NewNullLogger())}, clock, hclog.NewNullLogger())
+		target := held.View().Target("x")
+		j := &job{Relayer: r, call: &acceptor.Call{}}
+		assert.NilError(t, j.permitCopy(target))
+		r.Heard(target.Instance, bluebelldoor.AnswerHead{PauseFor: time.Second})
+		assert.Equal(t, j.permit(target), errPaused)
+		assert.Equal(t, j.permitCopy(target), errPaused)
+		time.Sleep(1200 * time.Millisecond)
+		assert.NilError(t, j.permitCopy(target))
+	})
+}
--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -47,7 +47,8 @@
 	r.ledger.Forget(t.ID)
 }
 
-// Streaming returns the targets on which generations of this VM run.
+// Streaming returns the targets on which generations of this VM run and which may
+// be asked.
 func (r *Relayer) Streaming() []*bluebelldoor.Instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -57,7 +58,7 @@
 		s.mu.Lock()
 		t := s.target
 		s.mu.Unlock()
-		if s.job.service.Engine != nil && !seen[t.ID] {
+		if s.job.service.Engine != nil && !seen[t.ID] && r.Pauses.Left(t.Instance) == 0 {
 			seen[t.ID] = true
 			out = append(out, t.Instance)
 		}
@@ -240,6 +241,9 @@
 // copy repeats a copy while the source is busy with another of the same run.
 func (j *job) copy(source, destination *registrar.Target, stop bool) (bluebelldoor.CopyResult, error) {
 	for {
+		if j.Pauses.Left(source.Instance) > 0 {
+			return bluebelldoor.CopyResult{}, &bluebelldoor.CopyError{Cause: errPaused}
+		}
 		result, err := j.Mover.Copy(j.ctx, source.Instance, destination.Instance, j.request.ID, stop)
 		var failed *bluebelldoor.CopyError
 		if err == nil || !errors.As(err, &failed) || failed.Status != 409 || j.ctx.Err() != nil {
--- a/request/relayer/move_test.go
+++ b/request/relayer/move_test.go
@@ -13,6 +13,7 @@
 
 	"bluebelldoor"
 	"bluebelldoor/connection/exchanger"
+	"bluebelldoor/process/pauser"
 	"bluebelldoor/process/recorder"
 	"bluebelldoor/process/registrar"
 	"bluebelldoor/process/turner"
@@ -138,7 +139,8 @@
 				defer held.Start()()
 				time.Sleep(10 * time.Millisecond)
 				r := New(Settings{DataCentre: "dc"}, Sources{View: held.View, Evidence: held.Evidence, Share: func() float64 { return 1 }}, Parts{
-					Mover: &c.engines, Turns: turner.New("vm", nil, func() []bluebelldoor.MemberState { return nil }, hclog.NewNullLogger()), Metrics: recorder.NewRelayMetrics(),
+					Pauses: pauser.New(clock, hclog.NewNullLogger()),
+					Mover:  &c.engines, Turns: turner.New("vm", nil, func() []bluebelldoor.MemberState { return nil }, hclog.NewNullLogger()), Metrics: recorder.NewRelayMetrics(),
 				}, clock, hclog.NewNullLogger())
 				source := held.View().Target("source")
 				j := &job{
@@ -191,3 +193,31 @@
 		assert.Equal(t, r.ledger.Targets(), 0)
 	})
 }
+
+// TestPausedIsAskedNothing makes no copies off an engine that wants a pause, and does
+// not ask it whether it leaves.
+func TestPausedIsAskedNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := steady{time.Now()}
+		held := published(t, "source other", clock)
+		asked := 0
+		mover := &engines{first: func(string) error {
+			asked++
+			return nil
+		}}
+		r := New(Settings{}, Sources{View: held.View}, Parts{Mover: mover, Pauses: pauser.New(clock, hclog.NewNullLogger())}, clock, hclog.NewNullLogger())
+		source, other := held.View().Target("source"), held.View().Target("other")
+		j := &job{Relayer: r, ctx: t.Context(), request: &bluebelldoor.RelayRequest{ID: "1"}, service: &bluebelldoor.ServiceKind{Engine: &bluebelldoor.EngineKind{}}}
+		r.streams[&stream{job: j, target: source}] = struct{}{}
+		assert.Equal(t, len(r.Streaming()), 1)
+		r.Heard(source.Instance, bluebelldoor.AnswerHead{PauseFor: time.Second})
+		assert.Equal(t, len(r.Streaming()), 0)
+		_, err := j.copy(source, other, false)
+		assert.ErrorIs(t, err, errPaused)
+		assert.Equal(t, asked, 0)
+		time.Sleep(2 * time.Second)
+		_, err = j.copy(source, other, false)
+		assert.NilError(t, err)
+		assert.Equal(t, len(r.Streaming()), 1)
+	})
+}
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -49,7 +49,7 @@
 	now := j.clock.Now()
 	targets, candidates := j.candidates(now)
 	if len(targets) == 0 {
-		return nil, nil, bluebelldoor.Refuse(bluebelldoor.NoTarget, "no target of the service may take work").WithRetryAfter(comeBack)
+		return nil, nil, j.noTarget()
 	}
 	demand := j.demand()
 	j.mu.Lock()
@@ -92,7 +92,7 @@
 	var targets []*registrar.Target
 	var candidates []placer.Candidate
 	for _, t := range view.Serving(j.name) {
-		if !view.Open(t.Instance) || j.excluded[t.ID] {
+		if !view.Open(t.Instance) || j.excluded[t.ID] || j.Pauses.Left(t.Instance) > 0 {
 			continue
 		}
 		targets = append(targets, t)
@@ -101,6 +101,35 @@
 	return targets, candidates
 }
 
+// pauseLeft returns when the first target of the service takes requests of this VM
+// again, 0 where one does or none is open.
+func (j *job) pauseLeft() time.Duration {
+	view := j.sources.View()
+	soonest := time.Duration(0)
+	for _, t := range view.Serving(j.name) {
+		if !view.Open(t.Instance) {
+			continue
+		}
+		left := j.Pauses.Left(t.Instance)
+		if left == 0 {
+			return 0
+		}
+		if soonest == 0 || left < soonest {
+			soonest = left
+		}
+	}
+	return soonest
+}
+
+// noTarget refuses a request that no target may get now.
+func (j *job) noTarget() *bluebelldoor.Refusal {
+	if left := j.pauseLeft(); left > 0 {
+		detail := "every target wants a pause, the shortest lasts " + left.Round(time.Millisecond).String()
+		return bluebelldoor.Refuse(bluebelldoor.TargetsPaused, detail).WithRetryAfter(left + j.Pauses.Spread(left))
+	}
+	return bluebelldoor.Refuse(bluebelldoor.NoTarget, "no target of the service may take work").WithRetryAfter(comeBack)
+}
+
 // mostIdle returns how many idle connections to a target this VM may keep: its
 // share of those that may be open beyond the requests that the target runs.
 func (j *job) mostIdle(t *registrar.Target) int {
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -13,6 +13,7 @@
 	"bluebelldoor/connection/acceptor"
 	"bluebelldoor/connection/exchanger"
 	"bluebelldoor/process/budgeter"
+	"bluebelldoor/process/pauser"
 	"bluebelldoor/process/recorder"
 	"bluebelldoor/process/registrar"
 	"bluebelldoor/process/turner"
@@ -37,6 +38,8 @@
 type Sources struct {
 	View     func() *registrar.View
 	Evidence func() (time.Duration, bool)
+	// Leaves notes that a target itself says that it leaves.
+	Leaves func(t *bluebelldoor.Instance)
 	// Share returns the part of what all VMs together may send that this VM
 	// may.
 	Share func() float64
@@ -51,6 +54,7 @@
 	Mover   bluebelldoor.Mover
 	Targets *exchanger.Exchanger
 	Turns   *turner.Turner
+	Pauses  *pauser.Pauser
 	Budget  *budgeter.Budgeter
 	Metrics *recorder.RelayMetrics
 }
@@ -96,6 +100,18 @@
 // Reload takes changed bounds into force.
 func (r *Relayer) Reload(settings Settings) { r.settings.Store(&settings) }
 
+// Heard takes what a target says of itself in the head of an answer, whatever
+// request it answers.
+func (r *Relayer) Heard(t *bluebelldoor.Instance, head bluebelldoor.AnswerHead) {
+	if head.Malformed != "" {
+		r.log.Warn("field of an answer not read", "target", t.ID, "error", head.Malformed)
+	}
+	if head.Leaving {
+		r.sources.Leaves(t)
+	}
+	r.Pauses.Pause(t, head.PauseFor)
+}
+
 // Leave makes the VM refuse new streams, which would outlast it, and those that
 // wait for an engine.
 func (r *Relayer) Leave() {
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -326,12 +326,16 @@
 }
 
 // permitCopy lets a generation go on where its copy is, unless that target
-// leaves or is out of service by now.
+// leaves, is out of service, or wants a pause by now.
 func (j *job) permitCopy(t *registrar.Target) error {
-	if j.sources.View().Open(t.Instance) {
+	switch {
+	case !j.sources.View().Open(t.Instance):
+		return errClosed
+	case j.Pauses.Left(t.Instance) > 0:
+		return errPaused
+	default:
 		return nil
 	}
-	return errClosed
 }
 
 // resume goes on after the last event at another target, as a new run.
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -33,6 +33,7 @@
 
 var (
 	errClosed    = errors.New("the target takes no new work, or the request is no longer allowed")
+	errPaused    = errors.New("the target wants nothing from this VM for now")
 	errTooLarge  = errors.New("the answer is too large to be kept")
 	errTruncated = errors.New("the answer broke off")
 )
@@ -149,6 +150,10 @@
 		j.again(t, "target refused", "status", status)
 		return false
 	}
+	if j.pauseLeft() > 0 {
+		j.refuse(j.noTarget())
+		return true
+	}
 	j.refuse(bluebelldoor.Refuse(bluebelldoor.TargetRefused, "target "+t.ID+" refused the request").WithRetryAfter(comeBack))
 	return true
 }
--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -217,7 +217,10 @@
 	j := w.job
 	targets, candidates := j.candidates(now)
 	if len(targets) == 0 {
-		w.refuse(bluebelldoor.Refuse(bluebelldoor.NoTarget, "no target of the service may take work").WithRetryAfter(comeBack))
+		if left := j.pauseLeft(); left > 0 && now+left <= j.latest() {
+			return placer.NoReading
+		}
+		w.refuse(j.noTarget())
 		return placer.HasRoom
 	}
 	demand := j.demand()
--- a/routing.go
+++ b/routing.go
@@ -197,3 +197,6 @@
 	// ColdFor is how long the target was still cold when the entry was written.
 	ColdFor time.Duration
 }
+
+// Start returns the name of the start.
+func (i *Instance) Start() TargetStart { return TargetStart{ID: i.ID, Born: i.Born} }
--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -26,6 +27,7 @@
 	Cut   Act = "cut"   // run and break off in the middle
 	Wrong Act = "wrong" // run and answer another request
 	Slow  Act = "slow"  // run and answer after a while
+	Pause Act = "pause" // refuse, not run, and ask for a pause
 )
 
 // Run is one request that a target ran.
@@ -83,6 +85,8 @@
 	copyFail int // status that the next copies answer
 	live     map[string]*generation
 	leaving  bool
+	says     http.Header   // fields of all answers
+	pause    time.Duration // that it asks for
 	// taken are the connections that are open, of at most mostTaken; 0 for no
 	// limit.
 	taken     map[net.Conn]bool
@@ -118,7 +122,7 @@
 // AddBehind starts a target and registers it at the address that front returns
 // for its own, such as that of a link.
 func (y *Yard) AddBehind(id, service, zone string, front func(address string) string) *Target {
-	t := &Target{ID: id, Service: service, Zone: zone, yard: y, born: time.Now().UnixMilli(), live: map[string]*generation{}, taken: map[net.Conn]bool{}, slots: defaultSlots}
+	t := &Target{ID: id, Service: service, Zone: zone, yard: y, born: time.Now().UnixMilli(), live: map[string]*generation{}, says: http.Header{}, taken: map[net.Conn]bool{}, slots: defaultSlots}
 	t.server = httptest.NewUnstartedServer(t)
 	t.server.Config.ConnState = t.count
 	t.server.Start()
@@ -160,6 +164,20 @@
 	t.act = act
 }
 
+// Says sets a header field of all answers from now on.
+func (t *Target) Says(name, value string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.says.Set(name, value)
+}
+
+// PauseFor sets the pause that the target asks for where it acts so.
+func (t *Target) PauseFor(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pause = d
+}
+
 // LimitConnections sets how many connections the target takes; those beyond
 // are reset.
 func (t *Target) LimitConnections(most int) {
@@ -208,6 +226,9 @@
 
 // ServeHTTP implements http.Handler.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	t.mu.Lock()
+	maps.Copy(w.Header(), t.says)
+	t.mu.Unlock()
 	switch {
 	case r.URL.Path == "/-/kv-move":
 		t.move(w, r)
@@ -241,21 +262,14 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	t.mu.Lock()
-	act := Serve
-	if t.act != nil {
-		act = t.act(r)
-	}
-	t.mu.Unlock()
-	if act == Shed {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+	act, pause := t.nextAct(r)
+	if act == Shed || act == Pause {
+		shed(w, pause)
 		return
 	}
 	from := t.takeCopy(r)
 	if r.Header.Get("Kv-From") != "" && from == nil {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		shed(w, 0)
 		return
 	}
 	t.yard.mu.Lock()
@@ -292,6 +306,30 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// nextAct returns what the target does with a request, and the pause that it asks
+// for with it.
+func (t *Target) nextAct(r *http.Request) (Act, time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	act := Serve
+	if t.act != nil {
+		act = t.act(r)
+	}
+	if act != Pause {
+		return act, 0
+	}
+	return act, t.pause
+}
+
+// shed answers that the request was not run, and asks for a pause if there is one.
+func shed(w http.ResponseWriter, pause time.Duration) {
+	if pause > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
+	}
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // stream sends events. Token-Count holds their number as the most output
 // tokens, one an event.
 func (t *Target) stream(w http.ResponseWriter, r *http.Request, from *generation, run string, act Act) {
