Placer: long generations avoid engines that make events slowly

What runs longer is under way more often when something ends it.

Change: each VM looks at the time between events of its streams, at the quarter of the shortest of 16, so that prompts read beside do not count, and tells peers with its loads. An engine more than 12 % slower than fast ones costs more for a generation that runs for seconds.

--- a/fleet.go
+++ b/fleet.go
@@ -46,6 +46,9 @@
 	Held int `cbor:"held"`
 	// Prefill is how many tokens of prompts there wait to be read.
 	Prefill int `cbor:"prefill"`
+	// PaceMs is the time between two events of a stream there, in ms, as the VM saw
+	// it; 0 where it has seen none.
+	PaceMs int `cbor:"paceMs,omitempty"`
 }
 
 // LoadDelta is what one VM has on the targets.
--- a/request/placer/ledger.go
+++ b/request/placer/ledger.go
@@ -26,10 +26,11 @@
 	tokens   int // that will come to be needed
 	held     int // that are needed now
 	prefill  int
+	pace     time.Duration // as peers told it, 0 if none did
 }
 
 func (l load) plus(m load) load {
-	return load{l.requests + m.requests, l.tokens + m.tokens, l.held + m.held, l.prefill + m.prefill}
+	return load{l.requests + m.requests, l.tokens + m.tokens, l.held + m.held, l.prefill + m.prefill, max(l.pace, m.pace)}
 }
 
 // Ledger keeps what this VM and its peers have on the targets, and how the
@@ -38,9 +39,11 @@
 	own      map[string]*load
 	peers    *PeerLoads
 	failures map[string]float64
-	sums     map[string]load
-	dirty    bool
-	cold     map[string][]time.Duration
+	// paces are the times between events that this VM saw.
+	paces map[string]time.Duration
+	sums  map[string]load
+	dirty bool
+	cold  map[string][]time.Duration
 	// stalls count late events by target and by data centre.
 	stalls map[string]fading
 	// unreachable is when a target last took no connection.
@@ -53,6 +56,7 @@
 		own:      map[string]*load{},
 		peers:    NewPeerLoads(),
 		failures: map[string]float64{},
+		paces:    map[string]time.Duration{},
 		sums:     map[string]load{},
 		cold:     map[string][]time.Duration{},
 
@@ -169,6 +173,7 @@
 // Forget drops what is known of a target that is gone.
 func (l *Ledger) Forget(target string) {
 	delete(l.failures, target)
+	delete(l.paces, target)
 	delete(l.cold, target)
 	delete(l.unreachable, target)
 	delete(l.stalls, target)
@@ -191,6 +196,9 @@
 			seen[id] = true
 		}
 	}
+	for id := range l.paces {
+		seen[id] = true
+	}
 	for id := range l.own {
 		seen[id] = true
 	}
@@ -203,6 +211,7 @@
 	for target, own := range l.own {
 		out = append(out, bluebelldoor.TargetLoad{Target: target, Requests: own.requests, Tokens: own.tokens, Held: own.held, Prefill: own.prefill})
 	}
+	l.toldPaces(out)
 	return out
 }
 
--- a/request/placer/peers.go
+++ b/request/placer/peers.go
@@ -30,11 +30,15 @@
 	return &PeerLoads{told: map[string]heard{}, sums: map[string]load{}}
 }
 
+func loadOf(t bluebelldoor.TargetLoad) load {
+	return load{requests: t.Requests, tokens: t.Tokens, held: t.Held, prefill: t.Prefill, pace: time.Duration(t.PaceMs) * time.Millisecond}
+}
+
 // Hear takes a peer's loads, told at now. They replace what it told before.
 func (p *PeerLoads) Hear(name string, loads []bluebelldoor.TargetLoad, now time.Duration) {
 	told := heard{at: now, loads: make(map[string]load, len(loads))}
 	for _, t := range loads {
-		told.loads[t.Target] = load{requests: t.Requests, tokens: t.Tokens, held: t.Held, prefill: t.Prefill}
+		told.loads[t.Target] = loadOf(t)
 	}
 	p.told[name] = told
 	p.dirty = true
@@ -53,7 +57,7 @@
 			delete(told.loads, t.Target)
 			continue
 		}
-		told.loads[t.Target] = load{requests: t.Requests, tokens: t.Tokens, held: t.Held, prefill: t.Prefill}
+		told.loads[t.Target] = loadOf(t)
 	}
 	told.at = now
 	p.told[name] = told
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -70,7 +70,9 @@
 	// Tokens is the memory that it will come to need, 0 if it is no generation.
 	Tokens int
 	// Held is the memory that it needs at once.
-	Held       int
+	Held int
+	// Long tells that it will run for seconds.
+	Long       bool
 	DataCentre string
 	Engine     *bluebelldoor.EngineKind
 	// Connections is how many a target takes from all VMs, one a request; 0 if
@@ -109,7 +111,7 @@
 func (l *Ledger) Pick(candidates []Candidate, d Demand, now time.Duration, random func() float64) Choice {
 	l.settle(now)
 	best := Choice{Index: -1, Cost: math.Inf(1)}
-	usual := l.usualFailures(candidates)
+	usual, fast := l.usualFailures(candidates), l.fastPace(candidates)
 	for i, c := range candidates {
 		if c.Cold && !l.coldRoom(c.Instance.ID, d.ColdPerSecond, now) {
 			continue
@@ -123,7 +125,7 @@
 			continue
 		}
 		cost, full := l.cost(c, d, usual)
-		cost += l.stallCost(c, d, now)
+		cost += l.stallCost(c, d, now) + l.slowness(c, d, fast)
 		if l.isUnreachable(c.Instance.ID, now) {
 			cost += unreachableCost
 		}
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -18,7 +18,7 @@
 func (j *job) demand() placer.Demand {
 	d := placer.Demand{DataCentre: j.settings.Load().DataCentre, Engine: j.service.Engine, Connections: j.service.MaxConnections, ColdPerSecond: -1}
 	if j.route.Generates {
-		d.Tokens, d.Held = j.request.PromptTokens+j.expected(), j.request.PromptTokens
+		d.Tokens, d.Held, d.Long = j.request.PromptTokens+j.expected(), j.request.PromptTokens, j.long()
 	}
 	if j.service.ColdPerSecond > 0 {
 		bounds := j.settings.Load()
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -43,6 +43,9 @@
 	// when the first and the last event left, and the longest time between.
 	first, last, pause time.Duration
 	pauseAfter         string
+	// between are the times between events since the last look at the target's
+	// pace.
+	between []time.Duration
 	// resumed tells that the next event is the first after a move.
 	resumed bool
 }
@@ -84,7 +87,9 @@
 	expected := max(j.expected(), int(float64(made)*(1+restPart)))
 	j.mu.Lock()
 	reservation.Need(j.request.PromptTokens+expected, j.request.PromptTokens+made)
+	j.ledger.Pace(s.target.ID, s.between)
 	j.mu.Unlock()
+	s.between = s.between[:0]
 }
 
 // stream passes events on as they come, also from other engines.
@@ -121,7 +126,7 @@
 			s.abort(err)
 			return
 		}
-		s.resumed = true
+		s.resumed, s.between = true, nil
 		answer, reservation = s.goOn(err)
 		if answer == nil {
 			s.abort(err)
@@ -192,6 +197,9 @@
 	} else if now-s.last > s.pause {
 		s.pause, s.pauseAfter = now-s.last, s.events.lastID
 	}
+	if s.last > 0 && !s.resumed {
+		s.between = append(s.between, (now-s.last)/time.Duration(max(1, s.events.count-s.made)))
+	}
 	late := s.last > 0 && s.job.route.MaxPause > 0 && now-s.last > s.job.route.MaxPause
 	s.last = now
 	if late && !s.resumed {
@@ -228,13 +236,13 @@
 		return err
 	}
 	s.clocked()
-	first := s.made == 0
+	first, look := s.made == 0, s.made/needEvery != s.events.count/needEvery
 	s.job.traffic.passed(s.events.count-s.made, len(whole))
 	s.mu.Lock()
 	s.made = s.events.count
 	s.mu.Unlock()
 	s.events.taken(len(whole))
-	if reservation != nil && s.made%needEvery == 0 {
+	if reservation != nil && look {
 		s.job.grow(s, reservation)
 	}
 	if first {
