Explain: reads the logs of several VMs

Change: `explain -log FILE...` counts by route how requests ended (from the code, whether the target had said that it leaves, whether the VM ended), with an example; with an ID it prints the lines on that request in order of time. The lines on a choice and an outcome name the route.

--- a/cmd/bluebelldoor/ask.go
+++ b/cmd/bluebelldoor/ask.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"net/url"
 	"os"
 	"runtime/debug"
 	"time"
@@ -74,38 +73,6 @@
 	return ask(ctx, c.address, "/status")
 }
 
-type explainCommand struct{ address string }
-
-func (*explainCommand) Name() string { return "explain" }
-func (*explainCommand) Synopsis() string {
-	return "ask a running VM for its decisions about one request"
-}
-
-func (*explainCommand) Usage() string {
-	return `bluebelldoor explain -address IP:PORT REQUEST-ID
-
-Prints the decisions that a running VM took about one request, with the values
-that decided. The identity is the X-Request-Id of the answer; the address is
-the VM's opsAddress. A VM keeps the latest 4096 requests.
-
-Exit status: 0 if the VM knows the request, 1 if not, 2 if the command line is
-wrong.
-
-`
-}
-
-func (c *explainCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.address, "address", "", "the VM's opsAddress")
-}
-
-func (c *explainCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.address == "" || f.NArg() != 1 {
-		f.Usage()
-		return subcommands.ExitUsageError
-	}
-	return ask(ctx, c.address, "/explain/"+url.PathEscape(f.Arg(0)))
-}
-
 type versionCommand struct{}
 
 func (*versionCommand) Name() string           { return "version" }
--- a/cmd/bluebelldoor/command_test.go
+++ b/cmd/bluebelldoor/command_test.go
@@ -20,6 +20,8 @@
 func TestExitStatuses(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.hujson")
 	assert.NilError(t, os.WriteFile(bad, []byte("{\n  \"revision\": 0\n}"), 0o600))
+	log := filepath.Join(t.TempDir(), "vm.log")
+	assert.NilError(t, os.WriteFile(log, []byte(`{"@module":"vm-1.relayer","@message":"refused","id":"r-1","route":"report","code":204}`), 0o600))
 	for name, c := range map[string]struct {
 		args   []string
 		status int
@@ -33,6 +35,11 @@
 		"nothing to check":      {[]string{"check"}, 2, "bluebelldoor check"},
 		"nobody there":          {[]string{"status", "-address", freeAddress(t)}, 1, "dial"},
 		"no request":            {[]string{"explain", "-address", "127.0.0.1:1"}, 2, "REQUEST-ID"},
+		"why requests failed":   {[]string{"explain", "-log", log}, 0, "refused, noTarget"},
+		"a request in the logs": {[]string{"explain", "-log", log, "r-1"}, 0, "\"id\":\"r-1\""},
+		"no line in the logs":   {[]string{"explain", "-log", log, "r-2"}, 1, "no line on r-2"},
+		"no such log":           {[]string{"explain", "-log", "nowhere"}, 2, "nowhere"},
+		"both a VM and a log":   {[]string{"explain", "-log", log, "-address", "127.0.0.1:1", "r-1"}, 2, "REQUEST-ID"},
 		"the version":           {[]string{"version"}, 0, "bluebelldoor 0."},
 		"unknown":               {[]string{"fly"}, 2, ""},
 	} {
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -77,7 +77,7 @@
 
 // chosen logs a choice. The log does not block.
 func (j *job) chosen(t *registrar.Target, choice placer.Choice, of int, now time.Duration) {
-	j.log.Info("target chosen", "id", j.request.ID, "target", t.ID, "dataCentre", t.DataCentre, "of", of,
+	j.log.Info("target chosen", "id", j.request.ID, "route", j.route.Name, "target", t.ID, "dataCentre", t.DataCentre, "of", of,
 		"prompt", j.request.PromptTokens, "expected", j.expected(),
 		"cost", round(choice.Cost), "requests", choice.Requests, "tokens", choice.Tokens, "held", choice.Held, "prefill", choice.Prefill,
 		"failures", round(choice.Failures), "coldMs", max(0, t.ColdUntil-now).Milliseconds(), "full", choice.Full,
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -28,6 +28,9 @@
 	// News is how old the evidence may be on which a request is told that its
 	// route or key does not exist.
 	News time.Duration
+	// Leaving is how long a target that leaves may still get the rest of a stream of
+	// which it holds a copy.
+	Leaving time.Duration
 	// ColdFactor times a cold target's rate, and ColdAllowance beside it, is
 	// what all VMs together may send it in a second.
 	ColdFactor    float64
@@ -224,8 +227,12 @@
 	if routing := j.sources.View().Routing(); routing != nil {
 		version = routing.Version()
 	}
+	route := ""
+	if j.route != nil {
+		route = j.route.Name
+	}
 	args := append([]any{
-		"id", j.request.ID, "code", int(code), "detail", detail, "service", j.name, "account", j.account,
+		"id", j.request.ID, "route", route, "code", int(code), "detail", detail, "service", j.name, "account", j.account,
 		"tookMs", took.Milliseconds(), "runs", j.runs, "unrun", j.unrun, "version", version, "viewAgeMs", age.Milliseconds(),
 	}, more...)
 	j.log.Info(outcome, args...)
