Relayer: a stream goes on at an engine that leaves where its last copy failed

TestRelayStaysWhereItStopped fails without the change: broken off.

Change: a target that leaves may get the rest of a stream for 0.8 of the time in which it is to get nothing more (setting leavingWithin, from the platform's bounds), counted from the newest proof that it was not yet leaving, so that a late word does not stretch it. A stream is moved off such a target twice at most.

Taken out: the window, its start at the proof, the bound on moves: each is noticed (TestRelayStaysWhereItStopped, TestFinishes).

--- a/process/registrar/book.go
+++ b/process/registrar/book.go
@@ -51,6 +51,8 @@
 	registered []*bluebelldoor.Instance
 
 	lapsing time.Duration
+	// proved is when the platform was last known to have said what is held.
+	proved time.Duration
 	// left are the starts of targets that have said that they leave, and when the
 	// VM heard of it. They stay out whatever their entries say.
 	left map[bluebelldoor.TargetStart]time.Duration
@@ -80,6 +82,7 @@
 // apply takes an answer into force and reports whether the view changes. silence
 // is the age of the newest proof of what the platform holds, 0 if there was none.
 func (b *book) apply(p bluebelldoor.Published, now, silence time.Duration) bool {
+	b.proved = now - silence
 	if silence > outageAfter {
 		b.lapsing = now + lapseFor
 		b.log.Info("platform was silent", "forMs", silence.Milliseconds(), "lapsedUntilMs", lapseFor.Milliseconds())
@@ -214,6 +217,12 @@
 		leaving.Leaving = true
 		t.Instance = &leaving
 	}
+	switch {
+	case same && before.Leaving:
+		t.LeavingSince = before.LeavingSince
+	case t.Leaving:
+		t.LeavingSince = b.proved
+	}
 	b.targets[key] = t
 	switch {
 	case !same:
@@ -241,7 +250,7 @@
 		}
 		leaving := *t.Instance
 		leaving.Leaving = true
-		b.targets[key] = &Target{Instance: &leaving, ColdUntil: t.ColdUntil, Lapsed: t.Lapsed}
+		b.targets[key] = &Target{Instance: &leaving, ColdUntil: t.ColdUntil, Lapsed: t.Lapsed, LeavingSince: b.proved}
 		b.notify(b.targets[key], "says that it leaves")
 	}
 	return true
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -326,6 +326,9 @@
 func (r *Registrar) leave(ctx context.Context, starts []bluebelldoor.TargetStart) {
 	r.do(ctx, func() {
 		now, news := r.clock.Now(), false
+		if age, proved := r.Evidence(); proved {
+			r.book.proved = now - age
+		}
 		for _, start := range starts {
 			news = r.book.leaves(start, now) || news
 		}
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -581,3 +581,49 @@
 		v.Leaves(context.Background(), &bluebelldoor.Instance{ID: "x"})
 	})
 }
+
+// TestFinishes lets a target that leaves get the rest of a stream for a while, which
+// counts from when the platform may have told others; no longer, and none where its
+// start or its data centre is gone.
+func TestFinishes(t *testing.T) {
+	const within = 1600 * time.Millisecond
+	for name, c := range map[string]struct {
+		change  func(store *catalogue, v *vm)
+		after   time.Duration
+		outcome bool
+	}{
+		"open":                {func(*catalogue, *vm) {}, time.Hour, true},
+		"leaves":              {func(s *catalogue, _ *vm) { s.put("t/x", "draining/1") }, 500 * time.Millisecond, true},
+		"has been leaving":    {func(s *catalogue, _ *vm) { s.put("t/x", "draining/1") }, 2 * time.Second, false},
+		"says that it leaves": {func(_ *catalogue, v *vm) { v.Leaves(context.Background(), v.View().Target("x").Instance) }, 500 * time.Millisecond, true},
+		"said that it leaves": {func(_ *catalogue, v *vm) { v.Leaves(context.Background(), v.View().Target("x").Instance) }, 2 * time.Second, false},
+		"says so, then ready": {func(s *catalogue, v *vm) {
+			v.Leaves(context.Background(), v.View().Target("x").Instance)
+			s.put("t/x", "ready/1")
+		}, 2 * time.Second, false},
+		"gone":           {func(s *catalogue, _ *vm) { s.put("t/x", "") }, 0, false},
+		"starts again":   {func(s *catalogue, _ *vm) { s.put("t/x", "ready/2") }, 0, false},
+		"out of service": {func(s *catalogue, _ *vm) { s.put("out/dc", "out") }, 0, false},
+		"leaves after a silence": {func(s *catalogue, _ *vm) {
+			s.fail(errors.New("down"))
+			time.Sleep(1500 * time.Millisecond)
+			s.put("t/x", "draining/1")
+			s.fail(nil)
+			time.Sleep(500 * time.Millisecond)
+		}, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newCatalogue()
+				v := start(t, store, true)
+				store.put("t/x", "ready/1")
+				synctest.Wait()
+				held := v.View().Target("x").Instance
+				c.change(store, v)
+				synctest.Wait()
+				time.Sleep(c.after)
+				assert.Equal(t, v.View().Finishes(held, v.clock.Now(), within), c.outcome)
+			})
+		})
+	}
+}
--- a/process/registrar/view.go
+++ b/process/registrar/view.go
@@ -14,6 +14,9 @@
 	// Lapsed tells that the entry has gone in an outage of the platform and
 	// may come back.
 	Lapsed bool
+	// LeavingSince is the earliest time, by the VM's clock, at which others may have
+	// known that the target leaves.
+	LeavingSince time.Duration
 }
 
 // View is what is in force on one VM. It is immutable.
@@ -42,3 +45,14 @@
 	now := v.targets[t.ID]
 	return now != nil && now.Born == t.Born && now.Address == t.Address && !now.Leaving && !v.out[now.DataCentre]
 }
+
+// Finishes reports whether the start of a target that t names may still get the rest
+// of what it has begun, or holds a copy of: it is open, or has been leaving for less
+// than within at now.
+func (v *View) Finishes(t *bluebelldoor.Instance, now, within time.Duration) bool {
+	held := v.targets[t.ID]
+	if held == nil || held.Born != t.Born || held.Address != t.Address || v.out[held.DataCentre] {
+		return false
+	}
+	return !held.Leaving || now-held.LeavingSince < within
+}
--- a/process/runner/moves_test.go
+++ b/process/runner/moves_test.go
@@ -250,3 +250,24 @@
 		assert.Equal(t, len(f.yard.Runs(id)), 1)
 	}
 }
+
+// TestRelayStaysWhereItStopped goes on at an engine that leaves where the last copy
+// off it has failed: it has the memory, and its notice lasts a while.
+func TestRelayStaysWhereItStopped(t *testing.T) {
+	f, source := startEngine(t)
+	const events = 150
+	got := make(chan answer, 1)
+	go func() { got <- f.vms[0].generate(t, toStream, "stays", events) }()
+	await(t, "the stream runs", func() bool { return len(f.yard.Runs("stays")) == 1 })
+	destination := f.yard.Add("engine-2", "engine", "dc-0")
+	defer destination.Stop()
+	await(t, "the other engine is known", func() bool { return f.vms[0].Status().Revision >= f.store.Revision() })
+	source.FailLastCopies(http.StatusServiceUnavailable)
+	source.Register("draining")
+	oneRun(t, <-got, events)
+	runs := f.yard.Runs("stays")
+	assert.Assert(t, len(runs) > 1 && len(runs) < 6, "went on %d times", len(runs)-1)
+	for _, run := range runs {
+		assert.Equal(t, run.Target, source.ID)
+	}
+}
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -29,6 +29,9 @@
 	keyMargin = 0.75
 	// newsMargin is the same for the time within which a version is in force.
 	newsMargin = 0.8
+	// leavingMargin is the same for the time within which a target that leaves is to
+	// get nothing more.
+	leavingMargin = 0.8
 )
 
 // RelayAdapters reach what lies outside a VM that relays.
@@ -131,6 +134,7 @@
 		DataCentre:    s.DataCentre,
 		KeyEvidence:   time.Duration(float64(s.KeyEvidence) * keyMargin),
 		News:          time.Duration(float64(s.NewsWithin) * newsMargin),
+		Leaving:       time.Duration(float64(s.LeavingWithin) * leavingMargin),
 		ColdFactor:    s.ColdFactor,
 		ColdAllowance: s.ColdAllowance,
 	}
--- a/process/runner/relay_test.go
+++ b/process/runner/relay_test.go
@@ -111,7 +111,7 @@
 		r := &relay{settings: &bluebelldoor.RelaySettings{
 			Name: fmt.Sprintf("vm-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), CallerAddress: at(), ReadyAddress: at(),
 			DirectoryAddress: at(), PeerAddress: at(), OpsAddress: at(), Catalogue: store.Address(), MemoryMegabytes: 512, Cores: 1,
-			StopWithin: 4 * time.Second, AddressValidFor: 300 * time.Millisecond, KeyEvidence: keyGrace * 4 / 3, NewsWithin: 2 * time.Second,
+			StopWithin: 4 * time.Second, AddressValidFor: 300 * time.Millisecond, KeyEvidence: keyGrace * 4 / 3, NewsWithin: 2 * time.Second, LeavingWithin: 2 * time.Second,
 			RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryAllowance: testBudget, ColdFactor: 1.5, ColdAllowance: 5,
 		}}
 		seeds = append(seeds, r.settings.PeerAddress)
--- a/relaysettings.go
+++ b/relaysettings.go
@@ -39,6 +39,9 @@
 	KeyEvidence time.Duration
 	// NewsWithin is how soon a new version is to be in force.
 	NewsWithin time.Duration
+	// LeavingWithin is how soon a target that says that it leaves is to get nothing
+	// more, 0 for at once.
+	LeavingWithin time.Duration
 	// RetryWindow, RetryRatio and RetryAllowance bound the repeated sends of
 	// all VMs together: the ratio to requests, and what may be added to it.
 	RetryWindow    time.Duration
--- a/request/relayer/admit_test.go
+++ b/request/relayer/admit_test.go
@@ -41,7 +41,8 @@
 // TestPermitClosed lets no byte leave for a target that has been closed since
 // it was chosen.
 func TestPermitClosed(t *testing.T) {
-	r := &Relayer{sources: Sources{View: func() *registrar.View { return &registrar.View{} }}}
+	r := &Relayer{sources: Sources{View: func() *registrar.View { return &registrar.View{} }}, clock: steady{time.Now()}}
+	r.Reload(Settings{Leaving: time.Minute})
 	target := &registrar.Target{Instance: &bluebelldoor.Instance{ID: "gone", Born: 1}}
 	j := &job{Relayer: r, call: &acceptor.Call{}}
 	assert.Equal(t, j.permit(target), errClosed)
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -24,6 +24,9 @@
 	// restPart is the part of what a generation has made that is expected to
 	// come once it has outgrown its estimate: lengths have heavy tails.
 	restPart = 0.3
+	// maxOnLeaving is how often a stream is moved off a target again on which it went
+	// on although that was leaving.
+	maxOnLeaving = 2
 	// streamBuffer holds some events.
 	streamBuffer = 8 << 10
 )
@@ -46,6 +49,8 @@
 	// between are the times between events since the last look at the target's
 	// pace.
 	between []time.Duration
+	// onLeaving is how often the stream went on at a target that was leaving.
+	onLeaving int
 	// resumed tells that the next event is the first after a move.
 	resumed bool
 }
@@ -327,17 +332,18 @@
 	s.mu.Unlock()
 	j.Metrics.Moved("resumed")
 	j.log.Info("stream moved", "id", j.request.ID, "target", t.ID, "after", s.events.lastID)
-	if !j.sources.View().Open(t.Instance) {
+	if !j.sources.View().Open(t.Instance) && s.onLeaving < maxOnLeaving {
+		s.onLeaving++
 		go j.moveOne(s, t)
 	}
 	return answer
 }
 
-// permitCopy lets a generation go on where its copy is, unless that target
-// leaves, is out of service, or wants a pause by now.
+// permitCopy lets a generation go on where its copy is, unless that target has been
+// leaving for long, is out of service, or wants a pause by now.
 func (j *job) permitCopy(t *registrar.Target) error {
 	switch {
-	case !j.sources.View().Open(t.Instance):
+	case !j.sources.View().Finishes(t.Instance, j.clock.Now(), j.settings.Load().Leaving):
 		return errClosed
 	case j.Pauses.Left(t.Instance) > 0:
 		return errPaused
--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -1,6 +1,7 @@
 package lender
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -83,6 +84,7 @@
 	mu       sync.Mutex
 	act      func(r *http.Request) Act
 	copyFail int // status that the next copies answer
+	lastFail int // the same for copies after which a generation has stopped
 	live     map[string]*generation
 	leaving  bool
 	says     http.Header   // fields of all answers
@@ -218,6 +220,14 @@
 	t.copyFail = status
 }
 
+// FailLastCopies makes the copies answer a status for which a generation stops, 0 for
+// none. The target keeps its memory.
+func (t *Target) FailLastCopies(status int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lastFail = status
+}
+
 // Stop ends the target as a crash does: connections break.
 func (t *Target) Stop() {
 	t.server.CloseClientConnections()
@@ -397,6 +407,9 @@
 	}
 	t.mu.Lock()
 	g, fail := t.live[in.ID], t.copyFail
+	if in.Final {
+		fail = cmp.Or(fail, t.lastFail)
+	}
 	t.mu.Unlock()
 	if g == nil {
 		w.WriteHeader(http.StatusNotFound)
--- a/version/parser/relay.go
+++ b/version/parser/relay.go
@@ -26,6 +26,7 @@
 	"addressValidFor":  span(0, time.Hour).must(),
 	"keyEvidence":      span(100*time.Millisecond, time.Hour).must(),
 	"newsWithin":       span(100*time.Millisecond, time.Hour).must(),
+	"leavingWithin":    span(0, time.Hour),
 	"retryWindow":      span(time.Second, time.Hour).must(),
 	"retryRatio":       schema{kind: number, max: 100}.must(),
 	"retryAllowance":   schema{kind: number, max: 1 << 20}.must(),
@@ -53,6 +54,7 @@
 	AddressValidFor  string   `json:"addressValidFor"`
 	KeyEvidence      string   `json:"keyEvidence"`
 	NewsWithin       string   `json:"newsWithin"`
+	LeavingWithin    string   `json:"leavingWithin"`
 	RetryWindow      string   `json:"retryWindow"`
 	RetryRatio       float64  `json:"retryRatio"`
 	RetryAllowance   float64  `json:"retryAllowance"`
@@ -90,6 +92,7 @@
 		AddressValidFor:  parsed(w.AddressValidFor, 0),
 		KeyEvidence:      parsed(w.KeyEvidence, 0),
 		NewsWithin:       parsed(w.NewsWithin, 0),
+		LeavingWithin:    parsed(w.LeavingWithin, 0),
 		RetryWindow:      parsed(w.RetryWindow, 0),
 		RetryRatio:       w.RetryRatio,
 		RetryAllowance:   w.RetryAllowance,
