--- a/cmd/bluebelldoor/explain.go
+++ b/cmd/bluebelldoor/explain.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"net/url"
 	"os"
 	"slices"
@@ -73,16 +75,14 @@
 	}
 }
 
-// each opens the logs one after the other.
-func (c *explainCommand) each(read func(*os.File) error) error {
+// each hands the logs to read, one after the other.
+func (c *explainCommand) each(read func(io.Reader) error) error {
 	for _, name := range c.logs {
-		file, err := os.Open(name)
+		text, err := os.ReadFile(name)
 		if err != nil {
 			return err
 		}
-		err = read(file)
-		file.Close()
-		if err != nil {
+		if err := read(bytes.NewReader(text)); err != nil {
 			return errors.Wrap(err, name)
 		}
 	}
@@ -92,8 +92,8 @@
 // lines prints the lines on one request.
 func (c *explainCommand) lines(id string) subcommands.ExitStatus {
 	var found []*explainer.Line
-	err := c.each(func(file *os.File) error {
-		_, err := explainer.Lines(file, func(l *explainer.Line) {
+	err := c.each(func(log io.Reader) error {
+		_, err := explainer.Lines(log, func(l *explainer.Line) {
 			if l.ID == id {
 				found = append(found, l)
 			}
@@ -118,7 +118,7 @@
 // causes prints how requests ended.
 func (c *explainCommand) causes() subcommands.ExitStatus {
 	e := explainer.New()
-	if err := c.each(func(file *os.File) error { return e.Read(file) }); err != nil {
+	if err := c.each(e.Read); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
