--- a/request/placer/ledger.go
+++ b/request/placer/ledger.go
@@ -26,7 +26,7 @@
 	tokens   int // that will come to be needed
 	held     int // that are needed now
 	prefill  int
-	pace     time.Duration // as peers told it, 0 if none did
+	pace     time.Duration // the longest that a peer told, 0 if none did
 }
 
 func (l load) plus(m load) load {
--- a/request/placer/pace.go
+++ b/request/placer/pace.go
@@ -50,8 +50,12 @@
 	return l.sums[target].pace
 }
 
-// fastPace returns the pace of the fast candidates: a quarter are faster.
-func (l *Ledger) fastPace(candidates []Candidate) time.Duration {
+// fastPace returns the pace of the fast candidates, of which a quarter are faster; 0
+// where the demand does not ask for it.
+func (l *Ledger) fastPace(candidates []Candidate, d Demand) time.Duration {
+	if !d.Long {
+		return 0
+	}
 	var known []time.Duration
 	for _, c := range candidates {
 		if p := l.pace(c.Instance.ID); p > 0 {
@@ -66,9 +70,9 @@
 }
 
 // slowness weighs a target's pace against that of fast ones.
-func (l *Ledger) slowness(c Candidate, d Demand, fast time.Duration) float64 {
+func (l *Ledger) slowness(c Candidate, fast time.Duration) float64 {
 	pace := l.pace(c.Instance.ID)
-	if !d.Long || pace == 0 || fast == 0 {
+	if pace == 0 || fast == 0 {
 		return 0
 	}
 	return slowCost * max(0, float64(pace)/float64(fast)-1-paceSlack)
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -111,7 +111,7 @@
 func (l *Ledger) Pick(candidates []Candidate, d Demand, now time.Duration, random func() float64) Choice {
 	l.settle(now)
 	best := Choice{Index: -1, Cost: math.Inf(1)}
-	usual, fast := l.usualFailures(candidates), l.fastPace(candidates)
+	usual, fast := l.usualFailures(candidates), l.fastPace(candidates, d)
 	for i, c := range candidates {
 		if c.Cold && !l.coldRoom(c.Instance.ID, d.ColdPerSecond, now) {
 			continue
@@ -125,7 +125,7 @@
 			continue
 		}
 		cost, full := l.cost(c, d, usual)
-		cost += l.stallCost(c, d, now) + l.slowness(c, d, fast)
+		cost += l.stallCost(c, d, now) + l.slowness(c, fast)
 		if l.isUnreachable(c.Instance.ID, now) {
 			cost += unreachableCost
 		}
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -195,7 +195,7 @@
 	} else if now-s.last > s.pause {
 		s.pause, s.pauseAfter = now-s.last, s.events.lastID
 	}
-	if s.last > 0 && !s.resumed {
+	if s.last > 0 && !s.resumed && len(s.between) < needEvery {
 		s.between = append(s.between, (now-s.last)/time.Duration(max(1, s.events.count-s.made)))
 	}
 	late := s.last > 0 && s.job.route.MaxPause > 0 && now-s.last > s.job.route.MaxPause
