--- a/process/pauser/pauser.go
+++ b/process/pauser/pauser.go
@@ -7,6 +7,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -29,6 +30,9 @@
 	log    hclog.Logger
 	random func() float64
 
+	// any tells that until is not empty: most VMs know of no pause most of the time,
+	// and each choice of a target asks for all targets.
+	any   atomic.Bool
 	mu    sync.Mutex
 	until map[bluebelldoor.TargetStart]time.Duration
 }
@@ -67,6 +71,7 @@
 		return
 	}
 	p.until[t.Start()] = until
+	p.any.Store(true)
 	if !paused {
 		p.log.Info("target asks for a pause", "target", t.ID, "forMs", d.Milliseconds(), "pausedTargets", len(p.until))
 	}
@@ -80,12 +85,14 @@
 
 // Left returns how long the target's pause still lasts, 0 if it has none.
 func (p *Pauser) Left(t *bluebelldoor.Instance) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.until) == 0 {
+	if !p.any.Load() {
 		return 0
 	}
-	return max(0, p.until[t.Start()]-p.clock.Now())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	p.prune(now)
+	return max(0, p.until[t.Start()]-now)
 }
 
 // prune forgets pauses that are over. It needs the mutex.
@@ -95,4 +102,5 @@
 			delete(p.until, start)
 		}
 	}
+	p.any.Store(len(p.until) > 0)
 }
