Logs name the VM's own stop; tests on a target's word need the rule in each case

The caller had not left: the acceptor closes its connections, and the relayer took the end of the request's context for the caller's. TestRelayCutIsNamed fails before: code 310 for both cases.

Change: the acceptor gives the context a cause, ErrCallerLeft or ErrStopped; a request that the VM's stop ends has code 206, draining. What callers get is the same.

Also: TestRelaySaysThatItLeaves passed in two of its four cases without the rule, since a target that has failed is avoided anyway. Each case now goes on with that target as the last one, where callers must be refused; all four fail without the rule.

--- a/connection/acceptor/acceptor.go
+++ b/connection/acceptor/acceptor.go
@@ -49,6 +49,12 @@
 // Begin and Finish or Abort.
 type Handler func(ctx context.Context, call *Call)
 
+// Causes for which the context of a request ends.
+var (
+	ErrCallerLeft = errors.New("the caller closed its connection")
+	ErrStopped    = errors.New("this VM has stopped")
+)
+
 // Acceptor serves callers at one address.
 type Acceptor struct {
 	handler  Handler
@@ -56,6 +62,7 @@
 	log      hclog.Logger
 	listener net.Listener
 	leaving  atomic.Bool
+	stopped  atomic.Bool
 	busy     atomic.Int64
 	held     atomic.Int64
 	mu       sync.Mutex
@@ -94,6 +101,7 @@
 func (a *Acceptor) Busy() int { return int(a.busy.Load()) }
 
 func (a *Acceptor) stop() {
+	a.stopped.Store(true)
 	_ = a.listener.Close() // nothing listens after this either way
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -102,6 +110,14 @@
 	}
 }
 
+// whyClosed returns why a connection with a request under way is closed.
+func (a *Acceptor) whyClosed() error {
+	if a.stopped.Load() {
+		return ErrStopped
+	}
+	return ErrCallerLeft
+}
+
 func (a *Acceptor) accept() {
 	for {
 		conn, err := a.listener.Accept()
@@ -200,15 +216,15 @@
 	if c.conn.SetReadDeadline(time.Time{}) != nil {
 		return false
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
 	watched := make(chan struct{})
 	go func() {
 		defer close(watched)
 		// Bytes are the next request; an error is the caller's leaving, or the
 		// deadline set below.
 		if _, err := c.reader.Peek(1); err != nil {
-			cancel()
+			cancel(c.owner.whyClosed())
 		}
 	}()
 	call := &Call{conn: c, Request: request, Body: body, idle: limits.IdleTimeout}
--- a/process/runner/moves_test.go
+++ b/process/runner/moves_test.go
@@ -34,6 +34,19 @@
 	}
 }
 
+// awaitRuns waits until targets run the requests NAME-0, NAME-1 and so on.
+func (f *relays) awaitRuns(t *testing.T, name string, n int) {
+	t.Helper()
+	await(t, "all streams run", func() bool {
+		for i := range n {
+			if len(f.yard.Runs(fmt.Sprintf("%s-%d", name, i))) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // TestRelayStreams passes events on whole, breaks off where the target does,
 // and goes on elsewhere only where the route allows it.
 func TestRelayStreams(t *testing.T) {
@@ -118,14 +131,7 @@
 			for i := range streams {
 				go func() { got <- f.vms[i%3].generate(t, toStream, fmt.Sprintf("move-%d", i), events) }()
 			}
-			await(t, "all streams run", func() bool {
-				for i := range streams {
-					if len(f.yard.Runs(fmt.Sprintf("move-%d", i))) == 0 {
-						return false
-					}
-				}
-				return true
-			})
+			f.awaitRuns(t, "move", streams)
 			destination := f.yard.Add("engine-2", "engine", "dc-0")
 			defer destination.Stop()
 			time.Sleep(300 * time.Millisecond)
--- a/process/runner/relay_test.go
+++ b/process/runner/relay_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,7 @@
 	*runner.Relay
 	settings *bluebelldoor.RelaySettings
 	stop     func()
+	log      *tail
 }
 
 // routes of the stand-in's configuration, by what may be repeated.
@@ -129,10 +131,12 @@
 	clock, err := timer.New()
 	assert.NilError(t, err)
 	catalogue, closeCatalogue := platform.NewStore(r.settings.Catalogue)
+	log, kept := keptLog(t, r.settings.Name)
+	r.log = kept
 	relay, stop, err := runner.NewRelay(r.settings, runner.RelayAdapters{
 		Codec: platform.Codec{}, Catalogue: catalogue, Clock: clock, NewEngines: newEngines,
 		ServeReady: platform.ServeReady, ServeDirectory: platform.ServeDirectory,
-	}, keptLog(t, r.settings.Name))
+	}, log)
 	assert.NilError(t, err)
 	r.Relay, r.stop = relay, func() {
 		stop()
@@ -165,7 +169,20 @@
 	return len(line), nil
 }
 
-func keptLog(t *testing.T, name string) hclog.Logger {
+// line returns the last line on a request with a message, empty if there is none.
+func (l *tail) line(message, id string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lines := strings.Split(string(l.kept), "\n")
+	for _, line := range slices.Backward(lines) {
+		if strings.Contains(line, message+": id="+id+" ") {
+			return line
+		}
+	}
+	return ""
+}
+
+func keptLog(t *testing.T, name string) (hclog.Logger, *tail) {
 	l := &tail{}
 	t.Cleanup(func() {
 		l.mu.Lock()
@@ -174,7 +191,7 @@
 			t.Logf("end of the log of %s:\n%s", name, l.kept[max(0, len(l.kept)-loggedTail):])
 		}
 	})
-	return hclog.New(&hclog.LoggerOptions{Output: l, Level: hclog.Info, TimeFormat: "15:04:05.000"})
+	return hclog.New(&hclog.LoggerOptions{Output: l, Level: hclog.Info, TimeFormat: "15:04:05.000"}), l
 }
 
 // await waits until a condition holds.
--- a/process/runner/says_test.go
+++ b/process/runner/says_test.go
@@ -79,6 +79,12 @@
 				got := f.vms[0].ask(t, "GET", toSafe+"x", fmt.Sprintf("after-%d", i), nil)
 				assert.Equal(t, got.status, 200)
 			}
+			other.Register("draining")
+			await(t, "the other target is closed", func() bool { return f.vms[0].Status().Revision >= f.store.Revision() })
+			for i := range 10 {
+				got := f.vms[0].ask(t, "GET", toSafe+"x", fmt.Sprintf("alone-%d", i), nil)
+				assert.Equal(t, got.status, 503)
+			}
 			assert.Equal(t, reached.between(from, time.Now()), 0)
 		})
 	}
@@ -97,14 +103,7 @@
 	for i := range streams {
 		go func() { got <- f.vms[i].generate(t, toStream, fmt.Sprintf("told-%d", i), events) }()
 	}
-	await(t, "all streams run", func() bool {
-		for i := range streams {
-			if len(f.yard.Runs(fmt.Sprintf("told-%d", i))) == 0 {
-				return false
-			}
-		}
-		return true
-	})
+	f.awaitRuns(t, "told", streams)
 	destination := f.yard.Add("engine-2", "engine", "dc-0")
 	defer destination.Stop()
 	await(t, "the other engine is known", func() bool {
--- a/process/runner/stops_test.go
+++ b/process/runner/stops_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"bluebelldoor"
 	"bluebelldoor/standin/lender"
 )
 
@@ -244,3 +245,33 @@
 		}
 	}
 }
+
+// TestRelayCutIsNamed tells in the log whether a stream was cut because its caller
+// left or because the VM stopped under it.
+func TestRelayCutIsNamed(t *testing.T) {
+	for name, c := range map[string]struct {
+		cut  func(vm *relay, caller net.Conn)
+		code bluebelldoor.Code
+	}{
+		"the caller leaves": {func(_ *relay, caller net.Conn) { caller.Close() }, bluebelldoor.CallerGone},
+		"the VM stops":      {func(vm *relay, _ net.Conn) { vm.stop() }, bluebelldoor.Draining},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, _ := startEngine(t)
+			vm := f.vms[0]
+			caller, err := net.Dial("tcp", vm.settings.CallerAddress)
+			assert.NilError(t, err)
+			defer caller.Close()
+			_, err = fmt.Fprintf(caller, "POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: cut\r\nAuthorization: Bearer %s\r\nDeadline-Ms: 20000\r\nToken-Count: 100,900\r\nContent-Length: 0\r\n\r\n",
+				toStream, testHost, testKey)
+			assert.NilError(t, err)
+			_, err = caller.Read(make([]byte, 1))
+			assert.NilError(t, err)
+			time.Sleep(100 * time.Millisecond)
+			c.cut(vm, caller)
+			await(t, "the cut is logged", func() bool { return vm.log.line("broken off", "cut") != "" })
+			line := vm.log.line("broken off", "cut")
+			assert.Assert(t, strings.Contains(line, fmt.Sprintf(" code=%d ", c.code)), line)
+		})
+	}
+}
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 
 	"bluebelldoor"
 	"bluebelldoor/connection/acceptor"
@@ -251,7 +252,12 @@
 // giveUp ends a request whose time is over or whose caller has left.
 func (j *job) giveUp() {
 	if !j.expired() {
-		j.note("caller left", bluebelldoor.CallerGone, "the caller closed its connection")
+		code, detail := j.whyEnded()
+		outcome := "caller left"
+		if code != bluebelldoor.CallerGone {
+			outcome = "broken off"
+		}
+		j.note(outcome, code, detail)
 		j.call.Abort()
 		return
 	}
@@ -262,6 +268,15 @@
 	j.refuse(bluebelldoor.Refuse(bluebelldoor.TargetTimeout, "the time is over and the target has not answered").WithExecuted(bluebelldoor.ExecutedUnknown))
 }
 
+// whyEnded returns why the context of a request has ended before its time was over.
+func (j *job) whyEnded() (bluebelldoor.Code, string) {
+	cause := context.Cause(j.ctx)
+	if errors.Is(cause, acceptor.ErrStopped) {
+		return bluebelldoor.Draining, cause.Error()
+	}
+	return bluebelldoor.CallerGone, acceptor.ErrCallerLeft.Error()
+}
+
 // mayRepeat reports whether the request may go to a further target although an
 // earlier one may have run it.
 func (j *job) mayRepeat() bool {
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -156,7 +156,9 @@
 	case j.expired():
 		code = bluebelldoor.TargetTimeout
 	case j.ctx.Err() != nil:
-		code = bluebelldoor.CallerGone
+		var why string
+		code, why = j.whyEnded()
+		detail = why + ": " + detail
 	}
 	j.note("broken off", code, detail, s.times()...)
 	j.call.Abort()
