--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -278,10 +278,15 @@
 			continue
 		}
 		r.httpResponse, r.head = response, r.exchanger.codec.ParseResponseHead(response)
-		r.exchanger.onHead(r.target, r.head)
 		// An error response may lack the request ID; a success must carry it.
 		errorWithoutID := r.head.RequestID == "" && response.StatusCode >= http.StatusMultipleChoices
-		if errorWithoutID || r.head.RequestID == request.ID {
+		current := errorWithoutID || r.head.RequestID == request.ID
+		if !current {
+			// The limit of a late response may no longer be in force.
+			r.head.Limit = bluebelldoor.RateLimit{Unknown: true}
+		}
+		r.exchanger.onHead(r.target, r.head)
+		if current {
 			return errors.Wrap(r.conn.conn.SetReadDeadline(time.Time{}), "read response")
 		}
 		r.discardConn = true
--- a/process/recorder/relaymetrics.go
+++ b/process/recorder/relaymetrics.go
@@ -77,6 +77,8 @@
 	Requests           float64
 	// Waiting counts generations that wait for an engine with free capacity.
 	Waiting float64
+	// LimitedTargets counts targets that have named a limit.
+	LimitedTargets float64
 }
 
 // RegisterGauges registers the gauges and the counter of dropped log lines; read and
@@ -92,6 +94,7 @@
 		"hubs":                 {"VMs that serve callers.", func(g Gauges) float64 { return g.Hubs }},
 		"requests":             {"Requests under way on this VM.", func(g Gauges) float64 { return g.Requests }},
 		"waiting":              {"Generations that wait for an engine with room.", func(g Gauges) float64 { return g.Waiting }},
+		"limited_targets":      {"Targets that have named a limit of requests per second.", func(g Gauges) float64 { return g.LimitedTargets }},
 	} {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: g.help}, func() float64 { return g.value(read()) }))
 	}
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -15,6 +15,7 @@
 	"bluebelldoor/process/assessor"
 	"bluebelldoor/process/budgeter"
 	"bluebelldoor/process/gossiper"
+	"bluebelldoor/process/limiter"
 	"bluebelldoor/process/pauser"
 	"bluebelldoor/process/prober"
 	"bluebelldoor/process/recorder"
@@ -60,6 +61,7 @@
 	registrar   *registrar.Registrar
 	gossiper    *gossiper.Gossiper
 	turner      *turner.Turner
+	limiter     *limiter.Limiter
 	relayer     *relayer.Relayer
 	retryBudget *budgeter.Budgeter
 	acceptor    *acceptor.Acceptor
@@ -99,6 +101,7 @@
 	engines, closeEngines := adapters.NewEngines(onResponseHead)
 	r.addCleanup(closeEngines)
 	r.retryBudget = budgeter.New(budgetSettings(settings))
+	r.limiter = limiter.New(adapters.Clock, log.Named("limiter"))
 	r.relayer = relayer.New(relayerSettings(settings), relayer.Sources{
 		View:             r.registrar.View,
 		EvidenceAge:      r.registrar.EvidenceAge,
@@ -111,6 +114,7 @@
 		Targets: targets,
 		Turns:   r.turner,
 		Pauses:  pauser.New(adapters.Clock, log.Named("pauser")),
+		Limits:  r.limiter,
 		Budget:  r.retryBudget,
 		Metrics: r.metrics,
 	}, adapters.Clock, log.Named("relayer"))
--- a/process/runner/relaystatus.go
+++ b/process/runner/relaystatus.go
@@ -21,6 +21,8 @@
 	Requests      int      `json:"requests"`
 	// Waiting is the number of generations for which no engine has room yet.
 	Waiting int `json:"waiting"`
+	// LimitedTargets is the number of targets that have named a limit.
+	LimitedTargets int `json:"limitedTargets"`
 }
 
 // Status returns the VM's state.
@@ -28,7 +30,7 @@
 	s := RelayStatus{
 		VM: r.settings.Name, DataCentre: r.settings.DataCentre, Phase: r.lifecycle.MustState().(Phase),
 		Serves: r.gossiper.IsHub(), Revision: r.registrar.Revision(), EvidenceAgeMs: -1, Requests: r.acceptor.ActiveRequests(),
-		Waiting: r.relayer.QueueLength(),
+		Waiting: r.relayer.QueueLength(), LimitedTargets: r.limiter.Count(),
 	}
 	if routing := r.registrar.View().Routing(); routing != nil {
 		s.RoutingVersion = routing.Version()
@@ -51,6 +53,6 @@
 	return recorder.Gauges{
 		RoutingVersion: float64(s.RoutingVersion), EvidenceAgeSeconds: float64(s.EvidenceAgeMs) / 1000,
 		Members: float64(len(s.Members)), Hubs: float64(len(s.Hubs)), Requests: float64(s.Requests),
-		Waiting: float64(s.Waiting),
+		Waiting: float64(s.Waiting), LimitedTargets: float64(s.LimitedTargets),
 	}
 }
--- a/relay.go
+++ b/relay.go
@@ -116,11 +116,24 @@
 	Leaving bool
 	// PauseFor is how long this VM must send the target no requests, 0 for no pause.
 	PauseFor time.Duration
+	// Limit is what the response says of the requests that the target accepts.
+	Limit RateLimit
 	// Malformed describes a header field that can't be parsed and is ignored,
 	// empty if there is none.
 	Malformed string
 }
 
+// RateLimit is what a response says of the requests per second that a target accepts
+// from all VMs together.
+type RateLimit struct {
+	// Unknown is set if the response does not say whether there is a limit: it may
+	// come from another target, or its field is malformed.
+	Unknown bool
+	// Named is set if there is a limit.
+	Named     bool
+	PerSecond float64
+}
+
 // HeadObserver receives the head of each response of a target. It must not block.
 type HeadObserver func(t *Instance, head ResponseHead)
 
--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -31,7 +31,10 @@
 // and drops the target's state once nothing can run there any more.
 func (r *Relayer) HandleLeaving(t *registrar.Target) {
 	r.forget(t)
-	time.AfterFunc(forgetDelay, func() { r.forget(t) })
+	time.AfterFunc(forgetDelay, func() {
+		r.forget(t)
+		r.Limits.Forget(t.Instance)
+	})
 	go func() {
 		for _, s := range r.streamsOn(t) {
 			go s.job.moveGeneration(s, t)
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -78,10 +78,14 @@
 // logChoice logs the choice of a target. The caller must hold r.mu, which is
 // safe as logging does not block.
 func (j *job) logChoice(t *registrar.Target, choice placer.Choice, candidates int, now time.Duration) {
+	limit, limited := j.Limits.Limit(t.Instance)
+	if !limited {
+		limit = -1
+	}
 	j.log.Info("target chosen", "id", j.request.ID, "route", j.route.Name, "target", t.ID, "dataCentre", t.DataCentre, "of", candidates,
 		"prompt", j.request.PromptTokens, "expected", j.expectedTokens(),
 		"cost", round3(choice.Cost), "requests", choice.Requests, "tokens", choice.Tokens, "held", choice.Held, "prefill", choice.Prefill,
-		"failures", round3(choice.FailureRate), "coldMs", max(0, t.ColdUntil-now).Milliseconds(), "full", choice.Full,
+		"failures", round3(choice.FailureRate), "coldMs", max(0, t.ColdUntil-now).Milliseconds(), "full", choice.Full, "limit", limit,
 		"waitedMs", (now - j.arrived).Milliseconds(), "waiting", j.queueLength())
 }
 
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -14,6 +14,7 @@
 	"bluebelldoor/connection/acceptor"
 	"bluebelldoor/connection/exchanger"
 	"bluebelldoor/process/budgeter"
+	"bluebelldoor/process/limiter"
 	"bluebelldoor/process/pauser"
 	"bluebelldoor/process/recorder"
 	"bluebelldoor/process/registrar"
@@ -64,6 +65,7 @@
 	Targets *exchanger.Exchanger
 	Turns   *turner.Turner
 	Pauses  *pauser.Pauser
+	Limits  *limiter.Limiter
 	Budget  *budgeter.Budgeter
 	Metrics *recorder.RelayMetrics
 }
--- a/request/relayer/targets.go
+++ b/request/relayer/targets.go
@@ -9,7 +9,8 @@
 )
 
 // HandleResponseHead applies what a target announces in a response header: that
-// it is leaving, or that it asks for a pause. It is called for every response.
+// it is leaving, that it asks for a pause, or that it limits requests. It is called
+// for every response.
 func (r *Relayer) HandleResponseHead(t *bluebelldoor.Instance, head bluebelldoor.ResponseHead) {
 	if head.Malformed != "" {
 		r.log.Warn("malformed field in response header", "target", t.ID, "error", head.Malformed)
@@ -18,6 +19,7 @@
 		r.sources.MarkLeaving(t)
 	}
 	r.Pauses.Pause(t, head.PauseFor)
+	r.Limits.Observe(t, head.Limit)
 }
 
 // candidates returns the targets of the service that the request may be sent to.
