--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -93,6 +94,7 @@
 	conns           map[net.Conn]bool // open connections
 	maxConns        int               // 0 for no limit
 	slots           int               // as registered
+	arrivals        []time.Time       // of callers' requests
 }
 
 // generation is an active stream.
@@ -105,6 +107,8 @@
 	stopped   bool
 }
 
+const limitHeader = "Server-Limit"
+
 // Timing and capacity of the targets.
 const (
 	// eventInterval is the time between two events of a stream.
@@ -178,6 +182,26 @@
 	t.retryAfter = d
 }
 
+// NameLimit makes all responses name a limit of requests per second.
+func (t *Target) NameLimit(perSecond float64) {
+	t.SetHeader(limitHeader, strconv.FormatFloat(perSecond, 'f', -1, 64))
+}
+
+// EndLimit makes responses name no limit any more.
+func (t *Target) EndLimit() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.header.Del(limitHeader)
+}
+
+// Arrivals returns when callers' requests reached the target, without misdirected
+// ones.
+func (t *Target) Arrivals() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.arrivals)
+}
+
 // LimitConnections sets the maximum number of open connections, 0 for no limit.
 // Connections beyond it are reset.
 func (t *Target) LimitConnections(limit int) {
@@ -270,6 +294,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	t.mu.Lock()
+	t.arrivals = append(t.arrivals, time.Now())
+	t.mu.Unlock()
 	behaviour, retryAfter := t.nextBehaviour(r)
 	if behaviour == Refuse || behaviour == Pause {
 		refuse(w, retryAfter)
