Keep the limits that targets name, over all VMs together

The class: a limit on the sum of all VMs' sends, with no mechanism that makes it a sum. A limit kept by each VM for itself would have been seven times too high.

Change: process/limiter. One VM, by rendezvous hashing over the hubs, grants the sends to a limited target from a token bucket at the named rate; requests for a permit carry the newest limit known, and the set of limited targets spreads with the gossip, so that VMs that start or have never been told keep it too. A grantor grants the fraction of the limit that corresponds to the VMs it sees, so that VMs that disagree about the grantor stay within the limit together. A VM whose grantor does not answer sends its share. The permit is checked last before bytes leave. Where a target accepts no more, another is chosen; where all are at their limits, callers are refused at once (214) and told when to come back; generations wait if there is a permit in their time. Copies go to targets without limits where there are any; limited targets are asked no questions.

TestRelayLimit gives VMs more time without news of the store: beside load they refused with viewStale, not for a limit.

--- a/code.go
+++ b/code.go
@@ -38,6 +38,7 @@
 	EnginesCrowded  Code = 211
 	BodiesHeld      Code = 212
 	TargetsPaused   Code = 213
+	TargetsLimited  Code = 214
 
 	TargetLost      Code = 301
 	AnswerTruncated Code = 302
@@ -101,6 +102,7 @@
 	EnginesCrowded:    {"enginesCrowded", 503, "no engine has room for the generation in its time"},
 	BodiesHeld:        {"bodiesHeld", 503, "this VM holds as many request bodies as it may"},
 	TargetsPaused:     {"targetsPaused", 503, "every target has asked this VM for a pause"},
+	TargetsLimited:    {"targetsLimited", 503, "every target has reached the limit of requests that it has named"},
 	TargetLost:        {"targetLost", 502, "the target was lost after tokens were delivered"},
 	AnswerTruncated:   {"answerTruncated", 502, "the target's answer ended early"},
 	OutcomeUnknown:    {"outcomeUnknown", 502, "the call may or may not have run"},
--- a/connection/messenger/fleet.go
+++ b/connection/messenger/fleet.go
@@ -12,6 +12,7 @@
 const (
 	rpcExchange = "/bluebelldoor/exchange"
 	rpcTurn     = "/bluebelldoor/turn"
+	rpcPermit   = "/bluebelldoor/permit"
 )
 
 var _ bluebelldoor.FleetClient = (*Messenger)(nil)
@@ -26,6 +27,11 @@
 	return invoke[bluebelldoor.TurnReply](ctx, m, m.pool.Get(ctx, address, dial), rpcTurn, in)
 }
 
+// Permit implements bluebelldoor.FleetClient.
+func (m *Messenger) Permit(ctx context.Context, address string, in *bluebelldoor.PermitRequest) (*bluebelldoor.PermitReply, error) {
+	return invoke[bluebelldoor.PermitReply](ctx, m, m.pool.Get(ctx, address, dial), rpcPermit, in)
+}
+
 func fleetReceiver[In, Out any](call func(bluebelldoor.FleetHandler, context.Context, *In) (*Out, error)) drpc.Receiver {
 	return func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
 		return call(srv.(bluebelldoor.FleetHandler), ctx, in.(*In))
@@ -35,6 +41,7 @@
 var fleetMethods = []method{
 	{rpcExchange, fleetReceiver(bluebelldoor.FleetHandler.Exchange), bluebelldoor.FleetHandler.Exchange},
 	{rpcTurn, fleetReceiver(bluebelldoor.FleetHandler.Turn), bluebelldoor.FleetHandler.Turn},
+	{rpcPermit, fleetReceiver(bluebelldoor.FleetHandler.Permit), bluebelldoor.FleetHandler.Permit},
 }
 
 // ServeFleet serves the RPCs of VMs that discover each other through seeds. The
--- a/fleet.go
+++ b/fleet.go
@@ -88,6 +88,38 @@
 	// none, and HeldIncarnation the incarnation of the receiver that sent them.
 	HeldHeartbeat   uint64 `cbor:"held,omitempty"`
 	HeldIncarnation int64  `cbor:"heldOf,omitempty"`
+	// LimitDigest identifies the set of limited targets that the sender knows, 0 if
+	// there is none. Limits are the limits that the receiver may lack.
+	LimitDigest uint64        `cbor:"limitDigest,omitempty"`
+	Limits      []TargetLimit `cbor:"limits,omitempty"`
+}
+
+// TargetLimit is the limit of requests that a target has named, as a VM knows it.
+type TargetLimit struct {
+	Target TargetIncarnation `cbor:"target"`
+	// PerSecond is how many requests per second the target accepts from all VMs
+	// together.
+	PerSecond float64 `cbor:"perSecond"`
+	// Ended is set if the target no longer names a limit.
+	Ended bool `cbor:"ended,omitempty"`
+	// AgeMs is the time since a response last said so, in milliseconds.
+	AgeMs int64 `cbor:"ageMs"`
+}
+
+// PermitRequest asks for a permit to send one request to a limited target.
+type PermitRequest struct {
+	From string `cbor:"from"`
+	// Limit is the target's limit as the sender knows it.
+	Limit TargetLimit `cbor:"limit"`
+}
+
+// PermitReply answers a PermitRequest.
+type PermitReply struct {
+	Granted bool `cbor:"granted"`
+	// RetryMs is after how many milliseconds to ask again if no permit was granted.
+	RetryMs int64 `cbor:"retryMs,omitempty"`
+	// Limit is the target's limit as the grantor knows it.
+	Limit TargetLimit `cbor:"limit"`
 }
 
 // TurnRequest asks for the right to copy over an engine's link.
@@ -113,10 +145,12 @@
 type FleetClient interface {
 	Exchange(ctx context.Context, address string, in *ExchangeMessage) (*ExchangeMessage, error)
 	Turn(ctx context.Context, address string, in *TurnRequest) (*TurnReply, error)
+	Permit(ctx context.Context, address string, in *PermitRequest) (*PermitReply, error)
 }
 
 // FleetHandler answers the calls of peers.
 type FleetHandler interface {
 	Exchange(ctx context.Context, in *ExchangeMessage) (*ExchangeMessage, error)
 	Turn(ctx context.Context, in *TurnRequest) (*TurnReply, error)
+	Permit(ctx context.Context, in *PermitRequest) (*PermitReply, error)
 }
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -66,6 +66,11 @@
 	// ApplyDelta processes a peer's records. If reply is set, they came in the reply to a
 	// message that was sent at sentAt.
 	ApplyDelta func(ctx context.Context, delta bluebelldoor.RecordDelta, sentAt time.Duration, reply bool)
+	// Limits, which may be nil, returns the digest of the limited targets that the VM knows, and the limits
+	// for a peer that has the given digest. It must not call the gossiper.
+	Limits func(digest uint64) (uint64, []bluebelldoor.TargetLimit)
+	// ApplyLimits processes the limits that a peer has sent.
+	ApplyLimits func(peer string, limits []bluebelldoor.TargetLimit)
 }
 
 // Gossiper maintains one VM's view of the membership. It is safe for concurrent use.
@@ -109,6 +114,10 @@
 
 // New returns a gossiper for the VM with the initial state self.
 func New(self bluebelldoor.MemberState, seeds []string, clock bluebelldoor.Clock, peers bluebelldoor.FleetClient, hooks Hooks, log hclog.Logger) *Gossiper {
+	if hooks.Limits == nil {
+		hooks.Limits = func(uint64) (uint64, []bluebelldoor.TargetLimit) { return 0, nil }
+		hooks.ApplyLimits = func(string, []bluebelldoor.TargetLimit) {}
+	}
 	g := &Gossiper{
 		clock:       clock,
 		peers:       peers,
@@ -382,11 +391,12 @@
 		return
 	}
 	g.merge(reply)
+	g.hooks.ApplyLimits(reply.From, reply.Limits)
 	g.hooks.ApplyDelta(ctx, reply.Delta, sentAt, true)
 }
 
 // buildMessage returns a message with the states of members, the VM itself first,
-// and the loads that the peer lacks. The caller holds g.mu.
+// and the loads and limits that the peer lacks. The caller holds g.mu.
 func (g *Gossiper) buildMessage(peer string, members []bluebelldoor.MemberState) *bluebelldoor.ExchangeMessage {
 	self := g.table.Self()
 	received, incarnation := g.table.LoadsReceived(peer)
@@ -397,6 +407,7 @@
 		HeldHeartbeat:   received,
 		HeldIncarnation: incarnation,
 	}
+	out.LimitDigest, out.Limits = g.hooks.Limits(g.table.LimitDigest(peer))
 	if m := g.table.members[peer]; m == nil || serves(m.state) || !self.Hub {
 		// Standbys place next to nothing, so they need no loads.
 		delta := g.loads.since(g.table.LoadsAcked(peer))
@@ -418,6 +429,7 @@
 		in.HeldHeartbeat = 0
 	}
 	g.table.Acknowledge(in.From, in.HeldHeartbeat, in.KnownMembers)
+	g.table.SetLimitDigest(in.From, in.LimitDigest)
 }
 
 // replyMembers returns the members whose states a reply carries. The caller holds
@@ -444,6 +456,7 @@
 	g.lastMessage[in.From] = g.clock.Now()
 	g.mu.Unlock()
 	g.merge(in)
+	g.hooks.ApplyLimits(in.From, in.Limits)
 	g.hooks.ApplyDelta(ctx, in.Delta, 0, false)
 	g.mu.Lock()
 	out := g.buildMessage(in.From, g.replyMembers(in.From, known))
--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -114,6 +114,10 @@
 	}
 }
 
+func (f endpoint) Permit(context.Context, string, *bluebelldoor.PermitRequest) (*bluebelldoor.PermitReply, error) {
+	panic("unexpected call of Permit")
+}
+
 func (f endpoint) Turn(context.Context, string, *bluebelldoor.TurnRequest) (*bluebelldoor.TurnReply, error) {
 	panic("unexpected call of Turn")
 }
--- a/process/gossiper/state.go
+++ b/process/gossiper/state.go
@@ -40,6 +40,12 @@
 	}
 }
 
+// Coverage returns the fraction of the known members that are alive.
+func (g *Gossiper) Coverage() float64 {
+	v := g.view.Load()
+	return min(1, float64(len(v.alive))/float64(max(1, v.known)))
+}
+
 // decideRole reports whether the VM itself is to be a hub. A VM that is needed but is no
 // preferred hub waits for takeoverDelay, lest all standbys become hubs at once. The
 // caller holds g.mu, except in New.
--- a/process/gossiper/table.go
+++ b/process/gossiper/table.go
@@ -43,6 +43,8 @@
 	roleChangedAt time.Duration
 	// memberCount is how many members it has reported to know.
 	memberCount int
+	// limitDigest identifies the limited targets that it has reported to know.
+	limitDigest uint64
 }
 
 func (m *member) alive(now time.Duration) bool { return now-m.lastSeen <= m.timeout() }
@@ -135,6 +137,21 @@
 	}
 }
 
+// SetLimitDigest records which limited targets a member knows.
+func (t *Table) SetLimitDigest(name string, digest uint64) {
+	if m := t.members[name]; m != nil {
+		m.limitDigest = digest
+	}
+}
+
+// LimitDigest returns the digest of the limited targets that a member knows.
+func (t *Table) LimitDigest(name string) uint64 {
+	if m := t.members[name]; m != nil {
+		return m.limitDigest
+	}
+	return 0
+}
+
 // MemberCount returns how many members a member has reported to know.
 func (t *Table) MemberCount(name string) int {
 	if m := t.members[name]; m != nil {
@@ -160,6 +177,7 @@
 		t.members[s.Name] = known
 	case s.Incarnation > known.state.Incarnation:
 		known.loadsReceived, known.loadsAcked, known.memberCount = 0, 0, 0
+		known.limitDigest = 0
 	case s.Incarnation < known.state.Incarnation || s.Heartbeat <= known.state.Heartbeat:
 		return false
 	case serves(s) != serves(known.state):
--- /dev/null
+++ b/process/limiter/gossip.go
@@ -0,0 +1,78 @@
+package limiter
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebelldoor"
+)
+
+// maxSentLimits bounds the limits in one message.
+const maxSentLimits = 64
+
+// digestOf returns a target's part of the digest of all limited targets.
+func digestOf(target bluebelldoor.TargetIncarnation) uint64 {
+	return xxhash.Sum64String(target.ID + "/" + strconv.FormatInt(target.StartedAt, 10))
+}
+
+// Limits returns the digest of the limited targets that the VM knows, and the limits to
+// send to a peer that has the given digest: none if it knows the same. The rates may
+// differ, as requests for permits carry them.
+func (l *Limiter) Limits(digest uint64) (uint64, []bluebelldoor.TargetLimit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	l.prune(now)
+	if digest == l.digest {
+		return l.digest, nil
+	}
+	out := make([]bluebelldoor.TargetLimit, 0, len(l.limits))
+	for target, known := range l.limits {
+		out = append(out, known.message(target, now))
+	}
+	// Newer observations first: a peer that differs has most likely missed these.
+	slices.SortFunc(out, func(a, b bluebelldoor.TargetLimit) int { return int(a.AgeMs - b.AgeMs) })
+	return l.digest, out[:min(len(out), maxSentLimits)]
+}
+
+func (known *limit) message(target bluebelldoor.TargetIncarnation, now time.Duration) bluebelldoor.TargetLimit {
+	return bluebelldoor.TargetLimit{Target: target, PerSecond: known.perSecond, Ended: known.ended, AgeMs: (now - known.observedAt).Milliseconds()}
+}
+
+// Merge applies the limits that a peer has sent, if they are newer than the known ones.
+func (l *Limiter) Merge(peer string, limits []bluebelldoor.TargetLimit) {
+	if len(limits) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, in := range limits {
+		l.merge(peer, in)
+	}
+}
+
+// merge applies one limit. Rates that are no valid limit are ignored. The caller holds
+// l.mu.
+func (l *Limiter) merge(peer string, in bluebelldoor.TargetLimit) {
+	if !(in.PerSecond >= 0) || in.AgeMs < 0 || !l.fleet.Registered(in.Target) {
+		return
+	}
+	at := l.clock.Now() - time.Duration(in.AgeMs)*time.Millisecond
+	known := l.limits[in.Target]
+	switch {
+	case known == nil:
+		if in.Ended {
+			return
+		}
+	case at <= known.observedAt:
+		return
+	case known.ended == in.Ended && known.perSecond == in.PerSecond && at-known.observedAt < relaxDelay:
+		// Likely an observation of this VM: with the delays of messages it would look
+		// newer each time that it comes back.
+		return
+	}
+	l.set(in.Target, observation{in.PerSecond, in.Ended, at}, peer)
+}
--- a/process/limiter/limiter_test.go
+++ b/process/limiter/limiter_test.go
@@ -47,7 +47,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				l := limiter.New(clock{time.Now()}, hclog.NewNullLogger())
+				registered := true
+				l := limiter.New(limiter.Fleet{
+					Registered: func(bluebelldoor.TargetIncarnation) bool { return registered }, Changed: func() {},
+				}, clock{time.Now()}, hclog.NewNullLogger())
 				target := &bluebelldoor.Instance{ID: "a", StartedAt: 1}
 				for _, r := range c.responses {
 					time.Sleep(r.after)
@@ -58,7 +61,9 @@
 				assert.Equal(t, limited, c.limited)
 				_, restartedLimited := l.Limit(&bluebelldoor.Instance{ID: "a", StartedAt: 2})
 				assert.Assert(t, !restartedLimited, "the limit applies to another start of the target")
-				l.Forget(target)
+				registered = false
+				time.Sleep(5 * time.Minute)
+				l.Limits(0)
 				assert.Equal(t, l.Count(), 0)
 			})
 		})
--- a/process/recorder/relaymetrics.go
+++ b/process/recorder/relaymetrics.go
@@ -18,6 +18,7 @@
 	capacityWait *prometheus.HistogramVec
 	answers      *prometheus.CounterVec
 	moves        *prometheus.CounterVec
+	permits      *prometheus.CounterVec
 }
 
 // NewRelayMetrics returns metrics with their own registry.
@@ -33,8 +34,11 @@
 		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "moves_total", Help: "Steps of generations that moved, by outcome.",
 		}, []string{"outcome"}),
+		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "permits_total", Help: "Requests for permits to send to limited targets, by outcome.",
+		}, []string{"outcome"}),
 	}
-	m.registry.MustRegister(m.requestTime, m.firstEvent, m.capacityWait, m.answers, m.moves)
+	m.registry.MustRegister(m.requestTime, m.firstEvent, m.capacityWait, m.answers, m.moves, m.permits)
 	return m
 }
 
@@ -66,6 +70,9 @@
 // CountMoveStep counts a step of moving a generation to another engine.
 func (m *RelayMetrics) CountMoveStep(outcome string) { m.moves.WithLabelValues(outcome).Inc() }
 
+// CountPermit counts a request for a permit.
+func (m *RelayMetrics) CountPermit(outcome string) { m.permits.WithLabelValues(outcome).Inc() }
+
 // Gauges are current values of a VM's state.
 type Gauges struct {
 	RoutingVersion float64
--- a/process/runner/limits_test.go
+++ b/process/runner/limits_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"bluebelldoor"
 	"bluebelldoor/standin/lender"
 )
 
@@ -51,6 +52,10 @@
 	assert.Check(t, most <= allowed, "%s named a limit of %v a second and got %d requests in %v; allowed %d", target.ID, limit.perSecond, most, limitWindow, allowed)
 }
 
+// trustKeysLonger lets VMs go on for longer without news of the store: on a busy machine
+// they would refuse requests for a reason that has nothing to do with limits.
+func trustKeysLonger(s *bluebelldoor.RelaySettings) { s.KeyEvidenceMaxAge = 20 * time.Second }
+
 // outcomes counts the responses that callers got by status, 0 for none.
 type outcomes struct {
 	mu       sync.Mutex
@@ -138,7 +143,7 @@
 	} {
 		t.Run(title, func(t *testing.T) {
 			t.Parallel()
-			f := &fleet{relayFleet: startRelays(t, vms)}
+			f := &fleet{relayFleet: startRelays(t, vms, trustKeysLonger)}
 			for i := range 3 {
 				target := f.relayFleet.targets.Add(fmt.Sprintf("app-%d", i), "app", fmt.Sprintf("dc-%d", i))
 				t.Cleanup(target.Stop)
@@ -175,7 +180,7 @@
 // its share of the requests again.
 func TestRelayLimitEnds(t *testing.T) {
 	const vms, perSecond = 3, 40
-	f := startRelays(t, vms)
+	f := startRelays(t, vms, trustKeysLonger)
 	limited := f.targets.Add("app-0", "app", "dc-0")
 	t.Cleanup(limited.Stop)
 	f.awaitTargets(t)
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -93,6 +93,8 @@
 		ApplyPeerLoads: func(peer string, delta bluebelldoor.LoadDelta) bool { return r.relayer.ApplyPeerLoads(peer, delta) },
 		Delta:          r.registrar.Delta,
 		ApplyDelta:     r.registrar.ApplyDelta,
+		Limits:         func(digest uint64) (uint64, []bluebelldoor.TargetLimit) { return r.limiter.Limits(digest) },
+		ApplyLimits:    func(peer string, limits []bluebelldoor.TargetLimit) { r.limiter.Merge(peer, limits) },
 	}, log.Named("gossiper"))
 	r.turner = turner.New(settings.Name, peers, r.turnGrantors, log.Named("turner"))
 	onResponseHead := func(t *bluebelldoor.Instance, head bluebelldoor.ResponseHead) { r.relayer.HandleResponseHead(t, head) }
@@ -101,7 +103,19 @@
 	engines, closeEngines := adapters.NewEngines(onResponseHead)
 	r.addCleanup(closeEngines)
 	r.retryBudget = budgeter.New(budgetSettings(settings))
-	r.limiter = limiter.New(adapters.Clock, log.Named("limiter"))
+	r.limiter = limiter.New(limiter.Fleet{
+		Self:     settings.Name,
+		Peers:    peers,
+		Hubs:     r.gossiper.Hubs,
+		Coverage: r.gossiper.Coverage,
+		Share:    r.gossiper.Share,
+		Registered: func(target bluebelldoor.TargetIncarnation) bool {
+			t := r.registrar.View().Target(target.ID)
+			return t != nil && t.Incarnation() == target
+		},
+		Changed: r.gossiper.Trigger,
+		Counted: r.metrics.CountPermit,
+	}, adapters.Clock, log.Named("limiter"))
 	r.relayer = relayer.New(relayerSettings(settings), relayer.Sources{
 		View:             r.registrar.View,
 		EvidenceAge:      r.registrar.EvidenceAge,
@@ -210,3 +224,8 @@
 func (r *Relay) Turn(ctx context.Context, in *bluebelldoor.TurnRequest) (*bluebelldoor.TurnReply, error) {
 	return r.turner.Turn(ctx, in), nil
 }
+
+// Permit implements bluebelldoor.FleetHandler.
+func (r *Relay) Permit(_ context.Context, in *bluebelldoor.PermitRequest) (*bluebelldoor.PermitReply, error) {
+	return r.limiter.Permit(in), nil
+}
--- a/process/runner/relay_test.go
+++ b/process/runner/relay_test.go
@@ -102,7 +102,8 @@
 	}
 }
 
-func startRelays(t *testing.T, n int) *relayFleet {
+// startRelays starts a fleet of n VMs, whose settings change may change.
+func startRelays(t *testing.T, n int, change ...func(*bluebelldoor.RelaySettings)) *relayFleet {
 	t.Helper()
 	store, stopStore := lender.NewStore()
 	t.Cleanup(stopStore)
@@ -117,6 +118,9 @@
 			StopWithin: 4 * time.Second, AddressValidFor: 300 * time.Millisecond, KeyEvidenceMaxAge: keyGrace * 4 / 3, UpdateWithin: 2 * time.Second, LeavingWithin: 2 * time.Second,
 			RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryAllowance: testRetryAllowance, ColdFactor: 1.5, ColdAllowance: 5,
 		}}
+		for _, c := range change {
+			c(r.settings)
+		}
 		seeds = append(seeds, r.settings.PeerAddress)
 		f.vms = append(f.vms, r)
 	}
--- a/process/turner/turner_test.go
+++ b/process/turner/turner_test.go
@@ -21,6 +21,10 @@
 	panic("unexpected call of Exchange")
 }
 
+func (p peers) Permit(context.Context, string, *bluebelldoor.PermitRequest) (*bluebelldoor.PermitReply, error) {
+	panic("unexpected call of Permit")
+}
+
 func (p peers) Turn(ctx context.Context, address string, in *bluebelldoor.TurnRequest) (*bluebelldoor.TurnReply, error) {
 	if p[address] == nil {
 		<-ctx.Done()
--- a/request/relayer/admit.go
+++ b/request/relayer/admit.go
@@ -98,6 +98,9 @@
 	if j.Pauses.Remaining(t.Instance) > 0 {
 		return errPaused
 	}
+	if !j.Limits.Allows(j.permitted, t.Instance) {
+		return errNoPermit
+	}
 	if j.call.Begun() {
 		return nil
 	}
--- a/request/relayer/admit_test.go
+++ b/request/relayer/admit_test.go
@@ -67,7 +67,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		clock := testClock{time.Now()}
 		reg := startRegistrar(t, "x", clock)
-		r := New(Settings{}, Sources{View: reg.View, EvidenceAge: reg.EvidenceAge}, Dependencies{Pauses: pauser.New(clock, hclog.NewNullLogger()), Limits: limiter.New(clock, hclog.NewNullLogger())}, clock, hclog.NewNullLogger())
+		r := New(Settings{}, Sources{View: reg.View, EvidenceAge: reg.EvidenceAge}, Dependencies{Pauses: pauser.New(clock, hclog.NewNullLogger()), Limits: limiter.New(limiter.Fleet{}, clock, hclog.NewNullLogger())}, clock, hclog.NewNullLogger())
 		target := reg.View().Target("x")
 		j := &job{Relayer: r, call: &acceptor.Call{}}
 		assert.NilError(t, j.permitCopy(target))
--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,10 +32,7 @@
 // and drops the target's state once nothing can run there any more.
 func (r *Relayer) HandleLeaving(t *registrar.Target) {
 	r.forget(t)
-	time.AfterFunc(forgetDelay, func() {
-		r.forget(t)
-		r.Limits.Forget(t.Instance)
-	})
+	time.AfterFunc(forgetDelay, func() { r.forget(t) })
 	go func() {
 		for _, s := range r.streamsOn(t) {
 			go s.job.moveGeneration(s, t)
@@ -52,7 +50,7 @@
 }
 
 // StreamingTargets returns the engines on which streams of this VM run, without
-// those that have asked for a pause.
+// those that have asked for a pause or limit requests.
 func (r *Relayer) StreamingTargets() []*bluebelldoor.Instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -62,7 +60,8 @@
 		s.mu.Lock()
 		t := s.target
 		s.mu.Unlock()
-		if s.job.service.Engine != nil && !seen[t.ID] && r.Pauses.Remaining(t.Instance) == 0 {
+		_, limited := r.Limits.Limit(t.Instance)
+		if s.job.service.Engine != nil && !seen[t.ID] && !limited && r.Pauses.Remaining(t.Instance) == 0 {
 			seen[t.ID] = true
 			out = append(out, t.Instance)
 		}
@@ -169,9 +168,10 @@
 func (j *job) reserveDestination(source *registrar.Target, tried map[string]bool, tokens int) (*registrar.Target, *placer.Reservation) {
 	now := j.clock.Now()
 	targets, candidates := j.candidates(now)
+	avoidLimited := j.hasUnlimited(targets, tried)
 	n := 0
 	for i, t := range targets {
-		if !tried[t.ID] {
+		if _, limited := j.Limits.Limit(t.Instance); !tried[t.ID] && (!limited || !avoidLimited) {
 			targets[n], candidates[n] = t, candidates[i]
 			n++
 		}
@@ -193,6 +193,14 @@
 	return targets[choice.Index], reservation
 }
 
+// hasUnlimited reports whether a target that has not been tried has no limit.
+func (j *job) hasUnlimited(targets []*registrar.Target, tried map[string]bool) bool {
+	return slices.ContainsFunc(targets, func(t *registrar.Target) bool {
+		_, limited := j.Limits.Limit(t.Instance)
+		return !limited && !tried[t.ID]
+	})
+}
+
 // copyTo copies a generation to a destination. It ends the reservation there
 // unless the stream will continue there.
 func (j *job) copyTo(s *stream, source, destination *registrar.Target, reservation *placer.Reservation, lifecycle *moveLifecycle) {
--- a/request/relayer/move_test.go
+++ b/request/relayer/move_test.go
@@ -140,7 +140,7 @@
 				defer reg.Start()()
 				time.Sleep(10 * time.Millisecond)
 				r := New(Settings{DataCentre: "dc"}, Sources{View: reg.View, EvidenceAge: reg.EvidenceAge, Share: func() float64 { return 1 }}, Dependencies{
-					Pauses: pauser.New(clock, hclog.NewNullLogger()), Limits: limiter.New(clock, hclog.NewNullLogger()),
+					Pauses: pauser.New(clock, hclog.NewNullLogger()), Limits: limiter.New(limiter.Fleet{}, clock, hclog.NewNullLogger()),
 					Mover: &c.copier, Turns: turner.New("vm", nil, func() []bluebelldoor.MemberState { return nil }, hclog.NewNullLogger()), Metrics: recorder.NewRelayMetrics(),
 				}, clock, hclog.NewNullLogger())
 				source := reg.View().Target("source")
@@ -174,7 +174,7 @@
 		clock := testClock{time.Now()}
 		targets, closeIdle := exchanger.New(nil)
 		defer closeIdle()
-		r := New(Settings{}, Sources{}, Dependencies{Targets: targets, Limits: limiter.New(clock, hclog.NewNullLogger()), Metrics: recorder.NewRelayMetrics()}, clock, hclog.NewNullLogger())
+		r := New(Settings{}, Sources{}, Dependencies{Targets: targets, Limits: limiter.New(limiter.Fleet{}, clock, hclog.NewNullLogger()), Metrics: recorder.NewRelayMetrics()}, clock, hclog.NewNullLogger())
 		for i := range 100 {
 			gone := &registrar.Target{Instance: &bluebelldoor.Instance{ID: string(rune('A' + i)), DataCentre: "dc"}}
 			r.mu.Lock()
@@ -207,7 +207,7 @@
 			copies++
 			return nil
 		}}
-		r := New(Settings{}, Sources{View: reg.View}, Dependencies{Mover: copier, Pauses: pauser.New(clock, hclog.NewNullLogger()), Limits: limiter.New(clock, hclog.NewNullLogger())}, clock, hclog.NewNullLogger())
+		r := New(Settings{}, Sources{View: reg.View}, Dependencies{Mover: copier, Pauses: pauser.New(clock, hclog.NewNullLogger()), Limits: limiter.New(limiter.Fleet{}, clock, hclog.NewNullLogger())}, clock, hclog.NewNullLogger())
 		source, other := reg.View().Target("source"), reg.View().Target("other")
 		j := &job{Relayer: r, ctx: t.Context(), request: &bluebelldoor.RelayRequest{ID: "1"}, service: &bluebelldoor.ServiceKind{Engine: &bluebelldoor.EngineKind{}}}
 		r.streams[&stream{job: j, target: source}] = struct{}{}
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -67,6 +67,19 @@
 	return t, reservation, nil
 }
 
+// placePermitted is place for a target to which the request may be sent: where a limited
+// target accepts no more requests now, it chooses another.
+func (j *job) placePermitted() (*registrar.Target, *placer.Reservation, *bluebelldoor.Refusal) {
+	for j.ctx.Err() == nil {
+		target, reservation, refusal := j.place()
+		if target == nil || j.acquirePermit(target) {
+			return target, reservation, refusal
+		}
+		j.endReservation(reservation)
+	}
+	return nil, nil, nil
+}
+
 // reserve records the request on its target. The caller must hold r.mu.
 func (j *job) reserve(t *registrar.Target, cold bool, demand placer.Demand, now time.Duration) *placer.Reservation {
 	if cold {
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -161,6 +161,7 @@
 	maybeExecuted int // sends after which a target may have run the request
 	notExecuted   int // sends that a target reported as not executed
 	unsent        int // attempts in which no byte was sent
+	permitted     limiter.Permit
 }
 
 // Serve handles a caller's request up to its final response.
@@ -237,7 +238,7 @@
 // run sends the request to targets until the caller has its final response.
 func (j *job) run() {
 	for {
-		target, reservation, refusal := j.place()
+		target, reservation, refusal := j.placePermitted()
 		if refusal != nil {
 			j.refuse(refusal)
 			return
--- a/request/relayer/resume.go
+++ b/request/relayer/resume.go
@@ -15,6 +15,9 @@
 	// engine has ended it. It covers the longest copy, as a late stream is worth
 	// more than a broken one.
 	lastCopyTimeout = 3 * time.Second
+	// maxPermitWait is how long a stream waits for a permit to continue on a limited
+	// target: less than callers wait for an event.
+	maxPermitWait = 1500 * time.Millisecond
 	// maxResumesOnLeaving is how many times a stream that resumed on a leaving
 	// target is moved off it again.
 	maxResumesOnLeaving = 2
@@ -78,6 +81,11 @@
 	request := j.targetRequest(t, s.events.lastID, copyID)
 	request.NewConn = true
 	request.Permit = func() error { return j.permitCopy(t) }
+	if !j.awaitPermit(t, maxPermitWait) {
+		j.log.Warn("copy not resumed", "id", j.request.ID, "target", t.ID, "error", errNoPermit)
+		j.Metrics.CountMoveStep("notResumed")
+		return nil
+	}
 	j.takeRetryBudget(1)
 	response, err := j.Targets.Send(j.ctx, t.Instance, request)
 	if err != nil {
@@ -112,6 +120,8 @@
 		return errNotPermitted
 	case j.Pauses.Remaining(t.Instance) > 0:
 		return errPaused
+	case !j.Limits.Allows(j.permitted, t.Instance):
+		return errNoPermit
 	default:
 		return nil
 	}
@@ -122,11 +132,14 @@
 	j := s.job
 	j.excluded[s.target.ID] = true
 	for j.mayRetry() {
-		t, reservation, refusal := j.place()
+		t, reservation, refusal := j.placePermitted()
 		if refusal != nil {
 			j.log.Info("stream not resumed", "id", j.request.ID, "why", refusal.Error())
 			return nil, nil
 		}
+		if t == nil {
+			return nil, nil
+		}
 		after := s.events.lastID
 		if after == "" {
 			after = j.request.ResumeAfter
--- a/request/relayer/targets.go
+++ b/request/relayer/targets.go
@@ -8,6 +8,10 @@
 	"bluebelldoor/request/placer"
 )
 
+// permitPollInterval is the least time between two requests for a permit for a stream
+// that waits for one.
+const permitPollInterval = 10 * time.Millisecond
+
 // HandleResponseHead applies what a target announces in a response header: that
 // it is leaving, that it asks for a pause, or that it limits requests. It is called
 // for every response.
@@ -28,7 +32,7 @@
 	var targets []*registrar.Target
 	var candidates []placer.Candidate
 	for _, t := range view.ServiceTargets(j.serviceName) {
-		if !view.AcceptsNewWork(t.Instance) || j.excluded[t.ID] || j.Pauses.Remaining(t.Instance) > 0 {
+		if !view.AcceptsNewWork(t.Instance) || j.excluded[t.ID] || j.unavailableFor(t) > 0 {
 			continue
 		}
 		targets = append(targets, t)
@@ -37,31 +41,68 @@
 	return targets, candidates
 }
 
-// shortestPause returns how long until the first open target of the service
-// accepts requests from this VM again, 0 if one does now or none is open.
-func (j *job) shortestPause() time.Duration {
+// unavailableFor returns how long until a target accepts requests from this VM again: it
+// has asked for a pause, or has reached its limit.
+func (r *Relayer) unavailableFor(t *registrar.Target) time.Duration {
+	return max(r.Pauses.Remaining(t.Instance), r.Limits.Remaining(t.Instance))
+}
+
+// shortestWait returns how long until the first open target of the service accepts
+// requests from this VM again, and whether it has asked for a pause. The time is 0 if one
+// accepts requests now or none is open.
+func (j *job) shortestWait() (wait time.Duration, paused bool) {
 	view := j.sources.View()
-	soonest := time.Duration(0)
 	for _, t := range view.ServiceTargets(j.serviceName) {
 		if !view.AcceptsNewWork(t.Instance) {
 			continue
 		}
-		remaining := j.Pauses.Remaining(t.Instance)
+		remaining := j.unavailableFor(t)
 		if remaining == 0 {
-			return 0
+			return 0, false
 		}
-		if soonest == 0 || remaining < soonest {
-			soonest = remaining
+		if wait == 0 || remaining < wait {
+			wait, paused = remaining, j.Pauses.Remaining(t.Instance) == remaining
 		}
 	}
-	return soonest
+	return wait, paused
 }
 
 // refusalNoTarget returns the refusal for a request that has no candidates.
 func (j *job) refusalNoTarget() *bluebelldoor.Refusal {
-	if pause := j.shortestPause(); pause > 0 {
-		detail := "all targets have asked for a pause, the shortest ends in " + pause.Round(time.Millisecond).String()
-		return bluebelldoor.NewRefusal(bluebelldoor.TargetsPaused, detail).WithRetryAfter(pause + j.Pauses.Jitter(pause))
+	wait, paused := j.shortestWait()
+	if wait == 0 {
+		return bluebelldoor.NewRefusal(bluebelldoor.NoTarget, "no target of the service accepts requests").WithRetryAfter(defaultRetryAfter)
+	}
+	code, reason := bluebelldoor.TargetsLimited, "all targets have reached their limits or pause, the first accepts requests in "
+	if paused {
+		code, reason = bluebelldoor.TargetsPaused, "all targets have asked for a pause, the shortest ends in "
+	}
+	return bluebelldoor.NewRefusal(code, reason+wait.Round(time.Millisecond).String()).WithRetryAfter(wait + j.Pauses.Jitter(wait))
+}
+
+// acquirePermit requests a permit to send the request to a target, which it needs if the
+// target is limited, and reports whether it may be sent.
+func (j *job) acquirePermit(t *registrar.Target) bool {
+	permit, granted := j.Limits.Acquire(j.ctx, t.Instance)
+	if !granted {
+		perSecond, _ := j.Limits.Limit(t.Instance)
+		j.log.Info("target at its limit", "id", j.request.ID, "target", t.ID, "limit", perSecond, "retryMs", j.Limits.Remaining(t.Instance).Milliseconds())
+		return false
+	}
+	j.permitted = permit
+	return true
+}
+
+// awaitPermit requests a permit until it is granted, for at most limit.
+func (j *job) awaitPermit(t *registrar.Target, limit time.Duration) bool {
+	for until := j.clock.Now() + limit; ; {
+		if j.acquirePermit(t) {
+			return true
+		}
+		wait := max(permitPollInterval, j.Limits.Remaining(t.Instance))
+		if j.ctx.Err() != nil || j.clock.Now()+wait > until {
+			return false
+		}
+		time.Sleep(wait)
 	}
-	return bluebelldoor.NewRefusal(bluebelldoor.NoTarget, "no target of the service accepts requests").WithRetryAfter(defaultRetryAfter)
 }
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -34,6 +34,7 @@
 var (
 	errNotPermitted = errors.New("target accepts no new requests, or the request is no longer authorized")
 	errPaused       = errors.New("target has asked this VM to pause")
+	errNoPermit     = errors.New("target has a limit, and this VM has no valid permit")
 	errTooLarge     = errors.New("response too large to buffer")
 	errTruncated    = errors.New("response truncated")
 )
@@ -116,6 +117,11 @@
 		return true
 	}
 	j.prepareRetry(t, err.Error())
+	if errors.Is(err, errNoPermit) {
+		// The target has just named its limit. It may still be sent the request with a
+		// permit.
+		delete(j.excluded, t.ID)
+	}
 	return false
 }
 
@@ -151,7 +157,7 @@
 		j.prepareRetry(t, "target refused", "status", status)
 		return false
 	}
-	if j.shortestPause() > 0 {
+	if wait, _ := j.shortestWait(); wait > 0 {
 		j.refuse(j.refusalNoTarget())
 		return true
 	}
--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -221,7 +221,7 @@
 	j := w.job
 	targets, candidates := j.candidates(now)
 	if len(targets) == 0 {
-		if pause := j.shortestPause(); pause > 0 && now+pause <= j.latestStart() {
+		if wait, _ := j.shortestWait(); wait > 0 && now+wait <= j.latestStart() {
 			return placer.NoPrefillCapacity
 		}
 		w.refuse(j.refusalNoTarget())
