Shares of the limits on all VMs add up to one in partitions too

Change: a hub's share is scaled by the fraction of the fleet that it sees alive, counts the hubs seen within the last 8 s, and a fleet has at least the members that the seeds name.

--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -101,8 +101,11 @@
 	lastFull time.Duration
 	// lastRejoin is when seeds and silent members were last tried.
 	lastRejoin time.Duration
-	// maxReported is the largest number of members that a peer has reported.
-	maxReported int
+	// maxReported is the largest number of members that a peer has reported, and
+	// seedMembers the number of those that the settings name, the VM itself included.
+	maxReported, seedMembers int
+	// hubSeenAt is when each member was last seen to be a hub, within recentHubsWindow.
+	hubSeenAt map[string]time.Duration
 	// neededSince is when the VM was first needed as a hub, 0 if it is not, and
 	// takeoverDelay how long it waits for another VM to take over.
 	neededSince   time.Duration
@@ -129,7 +132,9 @@
 		observed:    map[string]bool{},
 		loads:       newLoadLog(),
 		lastMessage: map[string]time.Duration{},
+		hubSeenAt:   map[string]time.Duration{},
 		pacer:       pacer.New(roundInterval, minRoundInterval),
+		seedMembers: countSeedMembers(self.PeerAddress, seeds),
 	}
 	g.publish()
 	return g
--- a/process/gossiper/state.go
+++ b/process/gossiper/state.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -14,8 +15,16 @@
 	hubs  []bluebelldoor.MemberState
 	isHub bool
 	known int
+	// fleetSize is at least how many members the fleet has, known or not.
+	fleetSize int
+	// recentHubs is the number of members that were hubs within recentHubsWindow.
+	recentHubs int
 }
 
+// recentHubsWindow is how long hubs that are no longer seen count in the shares: as a
+// partition begins, each side may choose new hubs before it knows which members it lost.
+const recentHubsWindow = standbyTimeout + 2*time.Second
+
 // Alive returns the members that are alive, the VM itself included. Callers
 // must not change the slice.
 func (g *Gossiper) Alive() []bluebelldoor.MemberState { return g.view.Load().alive }
@@ -30,20 +39,21 @@
 func (g *Gossiper) Share() float64 {
 	v := g.view.Load()
 	hubs := len(v.hubs)
-	switch rest := v.known - hubs; {
+	switch rest := v.fleetSize - hubs; {
 	case rest <= 0 || hubs == 0:
-		return 1 / float64(max(1, v.known))
+		return 1 / float64(max(1, v.fleetSize))
 	case v.isHub:
-		return hubShare / float64(hubs)
+		// Hubs that this VM does not see may use the limits too.
+		return hubShare / float64(v.recentHubs) * g.Coverage()
 	default:
 		return (1 - hubShare) / float64(rest)
 	}
 }
 
-// Coverage returns the fraction of the known members that are alive.
+// Coverage returns the fraction of the fleet that this VM sees alive.
 func (g *Gossiper) Coverage() float64 {
 	v := g.view.Load()
-	return min(1, float64(len(v.alive))/float64(max(1, v.known)))
+	return min(1, float64(len(v.alive))/float64(max(1, v.fleetSize)))
 }
 
 // decideRole reports whether the VM itself is to be a hub. A VM that is needed but is no
@@ -70,6 +80,7 @@
 	alive := g.table.Alive(g.clock.Now())
 	self := g.table.Self()
 	v := &view{alive: alive, known: max(g.table.Known(), g.maxReported)}
+	v.fleetSize = max(v.known, g.seedMembers)
 	for _, m := range alive {
 		if m.Name != self.Name && serves(m) {
 			v.hubs = append(v.hubs, m)
@@ -83,10 +94,31 @@
 	if v.isHub {
 		v.hubs = append(v.hubs, g.table.Self())
 	}
+	v.recentHubs = g.countRecentHubs(v.hubs)
 	g.view.Store(v)
 	g.observe(v)
 }
 
+// countRecentHubs records the hubs and returns how many members were hubs within
+// recentHubsWindow. The caller holds g.mu, except in New.
+func (g *Gossiper) countRecentHubs(hubs []bluebelldoor.MemberState) int {
+	now := g.clock.Now()
+	for _, m := range hubs {
+		g.hubSeenAt[m.Name] = now
+	}
+	maps.DeleteFunc(g.hubSeenAt, func(_ string, at time.Duration) bool { return now-at > recentHubsWindow })
+	return len(g.hubSeenAt)
+}
+
+// countSeedMembers returns how many members the seeds and the VM itself are.
+func countSeedMembers(self string, seeds []string) int {
+	members := map[string]bool{self: true}
+	for _, seed := range seeds {
+		members[seed] = true
+	}
+	return len(members)
+}
+
 // maxLoggedNames bounds the members that a log line names; the line also has their
 // count.
 const maxLoggedNames = 5
--- a/process/limiter/history_test.go
+++ b/process/limiter/history_test.go
@@ -35,6 +35,7 @@
 const (
 	oneWay         = time.Millisecond
 	gossipInterval = 250 * time.Millisecond
+	seeds          = 3
 	// aliveFor is how long a VM counts as alive after it was last reached.
 	aliveFor = 2500 * time.Millisecond
 	// changeDelay is how long a lower limit may take to reach all VMs.
@@ -133,10 +134,11 @@
 	return out
 }
 
+// known returns how many VMs this one knows, at least those that its seeds name.
 func (v *vm) known() float64 {
 	v.fleet.mu.Lock()
 	defer v.fleet.mu.Unlock()
-	return float64(len(v.reached) + 1)
+	return float64(max(len(v.reached)+1, min(seeds, len(v.fleet.vms))))
 }
 
 // startVM starts a VM that knows nothing, also not of other VMs.
