Tell the VMs at once that a target has lowered its limit

The digest of limits now includes the magnitude of the rates, so that a change by about a factor of two spreads with the next round of gossip.

--- a/fleet.go
+++ b/fleet.go
@@ -88,8 +88,8 @@
 	// none, and HeldIncarnation the incarnation of the receiver that sent them.
 	HeldHeartbeat   uint64 `cbor:"held,omitempty"`
 	HeldIncarnation int64  `cbor:"heldOf,omitempty"`
-	// LimitDigest identifies the set of limited targets that the sender knows, 0 if
-	// there is none. Limits are the limits that the receiver may lack.
+	// LimitDigest identifies the limits of targets that the sender knows, 0 if there are
+	// none. Limits are the limits that the receiver may lack.
 	LimitDigest uint64        `cbor:"limitDigest,omitempty"`
 	Limits      []TargetLimit `cbor:"limits,omitempty"`
 }
--- a/process/limiter/gossip.go
+++ b/process/limiter/gossip.go
@@ -1,8 +1,9 @@
 package limiter
 
 import (
+	"fmt"
+	"math"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,14 +14,19 @@
 // maxSentLimits bounds the limits in one message.
 const maxSentLimits = 64
 
-// digestOf returns a target's part of the digest of all limited targets.
-func digestOf(target bluebelldoor.TargetIncarnation) uint64 {
-	return xxhash.Sum64String(target.ID + "/" + strconv.FormatInt(target.StartedAt, 10))
+// digest returns the limit's part of the digest of all limits, 0 if it has ended. Rates
+// count to the nearest power of two: they may change with each response, and requests for
+// permits carry the exact ones.
+func (known *limit) digest(target bluebelldoor.TargetIncarnation) uint64 {
+	if known.ended {
+		return 0
+	}
+	magnitude := int(math.Round(math.Log2(max(minPerSecond, known.perSecond))))
+	return xxhash.Sum64String(fmt.Sprintf("%s/%d/%d", target.ID, target.StartedAt, magnitude))
 }
 
-// Limits returns the digest of the limited targets that the VM knows, and the limits to
-// send to a peer that has the given digest: none if it knows the same. The rates may
-// differ, as requests for permits carry them.
+// Limits returns the digest of the limits that the VM knows, and the limits to send to a
+// peer that has the given digest: none if it knows the same.
 func (l *Limiter) Limits(digest uint64) (uint64, []bluebelldoor.TargetLimit) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/process/limiter/limiter.go
+++ b/process/limiter/limiter.go
@@ -54,7 +54,8 @@
 	hasLimits atomic.Bool
 	mu        sync.Mutex
 	limits    map[bluebelldoor.TargetIncarnation]*limit
-	// active is the number of limits that have not ended, digest identifies them.
+	// active is the number of limits that have not ended, digest identifies them and
+	// their approximate rates.
 	active int
 	digest uint64
 	// silentUntil is until when a grantor that did not answer is not asked again.
@@ -111,9 +112,7 @@
 	limited := known != nil && !known.ended
 	switch {
 	case !said.Named && !limited:
-	case limited && said.Named && said.PerSecond <= known.perSecond:
-		known.perSecond, known.observedAt = said.PerSecond, now
-	case limited && now-known.observedAt < relaxDelay:
+	case limited && now-known.observedAt < relaxDelay && !(said.Named && said.PerSecond <= known.perSecond):
 	default:
 		l.set(t.Incarnation(), observation{said.PerSecond, !said.Named, now}, "")
 	}
@@ -134,19 +133,23 @@
 		l.limits[target] = known
 		l.hasLimits.Store(true)
 	}
-	changed := known.ended != o.ended
+	l.digest ^= known.digest(target)
+	before, began := known.digest(target), known.ended && !o.ended
 	known.perSecond, known.ended, known.observedAt = o.perSecond, o.ended, o.at
-	if !changed {
+	l.digest ^= known.digest(target)
+	if known.digest(target) == before {
 		return
 	}
-	known.deniedUntil, known.granted, known.own = 0, nil, nil
-	l.digest ^= digestOf(target)
-	if o.ended {
+	switch {
+	case o.ended:
 		l.active--
+		known.deniedUntil, known.granted, known.own = 0, nil, nil
 		l.log.Info("target's limit ended", "target", target.ID, "peer", peer, "limitedTargets", l.active)
-	} else {
+	case began:
 		l.active++
 		l.log.Info("target named a limit", "target", target.ID, "perSecond", o.perSecond, "peer", peer, "limitedTargets", l.active)
+	default:
+		l.log.Info("target changed its limit", "target", target.ID, "perSecond", o.perSecond, "peer", peer)
 	}
 	l.fleet.Changed()
 }
@@ -188,8 +191,8 @@
 		}
 		if !known.ended {
 			l.active--
-			l.digest ^= digestOf(target)
 		}
+		l.digest ^= known.digest(target)
 		delete(l.limits, target)
 	}
 	l.hasLimits.Store(len(l.limits) > 0)
