Permits: a caller that leaves does not silence the grantor; bounds on messages

Found by reading the new code as a newcomer:

- A request that ended while its VM asked for a permit made the VM take the grantor for silent, and send its own share beside the permits that it still got (TestCallerLeavesWhileAsking).
- A message from a peer could set an infinite rate, after which the bucket granted nothing, or an age that overflows (TestInvalidLimits); a reply could deny permits for as long as it said (TestAcquire).
- Callers refused because all targets are at their limits came back at about the same time; they are now spread over a second.

TestPermitLimited fails without the last check of the permit, which TestRelayLimit does not notice. The soak's targets name limits and end them.

--- a/cmd/bluebelldoor/soak_test.go
+++ b/cmd/bluebelldoor/soak_test.go
@@ -72,9 +72,12 @@
 
 // soak is the run of one seed.
 type soak struct {
-	t         *testing.T
-	dir       string
-	random    *rand.Rand
+	t      *testing.T
+	dir    string
+	random *rand.Rand
+	// limitRandom chooses the limits that targets name.
+	limitRandom *rand.Rand
+
 	store     *lender.Store
 	targetSet *lender.Cluster
 	vms       []*soakVM
@@ -104,7 +107,7 @@
 func runSoak(t *testing.T, seed uint64) {
 	store, stopStore := lender.NewStore()
 	t.Cleanup(stopStore)
-	s := &soak{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(seed, 99)), store: store, targetSet: lender.NewCluster(store)}
+	s := &soak{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(seed, 99)), limitRandom: rand.New(rand.NewPCG(seed, 98)), store: store, targetSet: lender.NewCluster(store)}
 	if logDir := os.Getenv("BLUEBELLDOOR_SOAK_LOGS"); logDir != "" {
 		s.dir = filepath.Join(logDir, fmt.Sprint(seed))
 		assert.NilError(t, os.MkdirAll(s.dir, 0o755))
--- a/cmd/bluebelldoor/soakfaults_test.go
+++ b/cmd/bluebelldoor/soakfaults_test.go
@@ -20,6 +20,7 @@
 	for time.Now().Before(until) {
 		v, l := s.vms[s.random.IntN(len(s.vms))], s.links[s.random.IntN(len(s.links))]
 		d := time.Duration(200+s.random.IntN(1500)) * time.Millisecond
+		s.changeLimits()
 		switch kind := s.random.IntN(13); kind {
 		case 0:
 			pending.Go(func() { s.restart(v, syscall.SIGKILL) })
@@ -57,6 +58,18 @@
 	}
 }
 
+// changeLimits sometimes makes a target name a limit, or end it. Its random numbers are its
+// own, so that the other faults of a seed stay the same.
+func (s *soak) changeLimits() {
+	t := s.targets[s.limitRandom.IntN(len(s.targets))]
+	switch s.limitRandom.IntN(8) {
+	case 0:
+		t.NameLimit(40 * s.limitRandom.Float64())
+	case 1:
+		t.EndLimit()
+	}
+}
+
 // revokeSecondKey removes the second API key from the configuration, once.
 func (s *soak) revokeSecondKey() {
 	if !s.secondKeyRevokedAt.IsZero() {
@@ -128,6 +141,9 @@
 func (s *soak) repairFaults() {
 	s.store.SetMode(lender.Up)
 	s.endOutages()
+	for _, t := range s.targets {
+		t.EndLimit()
+	}
 	for _, l := range s.links {
 		l.Restore()
 	}
--- a/process/limiter/gossip.go
+++ b/process/limiter/gossip.go
@@ -11,8 +11,14 @@
 	"bluebelldoor"
 )
 
-// maxSentLimits bounds the limits in one message.
-const maxSentLimits = 64
+const (
+	// maxSentLimits bounds the limits in one message.
+	maxSentLimits = 64
+	// maxPerSecond and maxAge are higher than those of any limit, and bound what a
+	// malformed message may say.
+	maxPerSecond = 1e6
+	maxAge       = 24 * time.Hour
+)
 
 // digest returns the limit's part of the digest of all limits, 0 if it has ended. Rates
 // count to the nearest power of two: they may change with each response, and requests for
@@ -60,10 +66,10 @@
 	}
 }
 
-// merge applies one limit. Rates that are no valid limit are ignored. The caller holds
-// l.mu.
+// merge applies one limit. Invalid ones are ignored. The caller holds l.mu.
 func (l *Limiter) merge(peer string, in bluebelldoor.TargetLimit) {
-	if !(in.PerSecond >= 0) || in.AgeMs < 0 || !l.fleet.Registered(in.Target) {
+	valid := in.PerSecond >= 0 && in.PerSecond <= maxPerSecond && in.AgeMs >= 0 && in.AgeMs <= maxAge.Milliseconds()
+	if !valid || !l.fleet.Registered(in.Target) {
 		return
 	}
 	at := l.clock.Now() - time.Duration(in.AgeMs)*time.Millisecond
--- a/process/limiter/limiter_test.go
+++ b/process/limiter/limiter_test.go
@@ -1,6 +1,8 @@
 package limiter_test
 
 import (
+	"context"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -69,3 +71,111 @@
 		})
 	}
 }
+
+// peers answers requests for permits with a function.
+type peers struct {
+	bluebelldoor.FleetClient
+	permit func(ctx context.Context) (*bluebelldoor.PermitReply, error)
+}
+
+func (p peers) Permit(ctx context.Context, _ string, _ *bluebelldoor.PermitRequest) (*bluebelldoor.PermitReply, error) {
+	return p.permit(ctx)
+}
+
+// newLimiter returns the limiter of a VM whose permits another VM grants.
+func newLimiter(p peers) *limiter.Limiter {
+	return limiter.New(limiter.Fleet{
+		Self: "self", Peers: p, Changed: func() {}, Counted: func(string) {},
+		Hubs: func() []bluebelldoor.MemberState {
+			return []bluebelldoor.MemberState{{Name: "peer", PeerAddress: "peer"}}
+		},
+		Coverage:   func() float64 { return 1 },
+		Share:      func() float64 { return 0.5 },
+		Registered: func(bluebelldoor.TargetIncarnation) bool { return true },
+	}, clock{time.Now()}, hclog.NewNullLogger())
+}
+
+// TestInvalidLimits checks that limits in messages that no target can have named change
+// nothing.
+func TestInvalidLimits(t *testing.T) {
+	for name, in := range map[string]bluebelldoor.TargetLimit{
+		"not a number":  {PerSecond: math.NaN()},
+		"infinite":      {PerSecond: math.Inf(1)},
+		"negative":      {PerSecond: -1},
+		"from tomorrow": {PerSecond: 1, AgeMs: -1},
+		"age overflows": {PerSecond: 1, AgeMs: math.MaxInt64},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLimiter(peers{})
+			in.Target = bluebelldoor.TargetIncarnation{ID: "a"}
+			l.Merge("peer", []bluebelldoor.TargetLimit{in})
+			assert.Equal(t, l.Count(), 0)
+			assert.Assert(t, !l.Permit(&bluebelldoor.PermitRequest{From: "peer", Limit: in}).Granted)
+			assert.Equal(t, l.Count(), 0)
+		})
+	}
+}
+
+// TestAcquire checks what a VM may send to a limited target by the grantor's reply.
+func TestAcquire(t *testing.T) {
+	limit := bluebelldoor.TargetLimit{Target: bluebelldoor.TargetIncarnation{ID: "a"}, PerSecond: 4}
+	target := &bluebelldoor.Instance{ID: "a"}
+	reply := func(granted bool, retryMs int64) func(context.Context) (*bluebelldoor.PermitReply, error) {
+		return func(context.Context) (*bluebelldoor.PermitReply, error) {
+			return &bluebelldoor.PermitReply{Granted: granted, RetryMs: retryMs, Limit: limit}, nil
+		}
+	}
+	for name, c := range map[string]struct {
+		permit    func(context.Context) (*bluebelldoor.PermitReply, error)
+		granted   bool
+		remaining time.Duration
+	}{
+		"granted":               {reply(true, 0), true, 0},
+		"denied":                {reply(false, 300), false, 300 * time.Millisecond},
+		"denied without a time": {reply(false, 0), false, 20 * time.Millisecond},
+		"denied for a day":      {reply(false, math.MaxInt64), false, 2 * time.Second},
+		// A share of 2 a second has its first permit after half a second.
+		"no answer": {func(ctx context.Context) (*bluebelldoor.PermitReply, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}, false, 500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLimiter(peers{permit: c.permit})
+				l.Observe(target, named(4))
+				permit, granted := l.Acquire(t.Context(), target)
+				assert.Equal(t, granted, c.granted)
+				assert.Equal(t, l.Allows(permit, target), c.granted)
+				assert.Equal(t, l.Remaining(target), c.remaining)
+				assert.Assert(t, !l.Allows(limiter.Permit{}, target))
+				time.Sleep(time.Second)
+				assert.Assert(t, !l.Allows(permit, target), "the permit does not end")
+			})
+		})
+	}
+}
+
+// TestCallerLeavesWhileAsking guards against a caller that disconnects while its VM asks
+// for a permit: the VM must not take the grantor for silent and send its own share beside
+// the permits that it still gets.
+func TestCallerLeavesWhileAsking(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked := 0
+		l := newLimiter(peers{permit: func(ctx context.Context) (*bluebelldoor.PermitReply, error) {
+			asked++
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}})
+		target := &bluebelldoor.Instance{ID: "a"}
+		l.Observe(target, named(4))
+		for range 3 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			_, granted := l.Acquire(ctx, target)
+			cancel()
+			assert.Assert(t, !granted)
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Equal(t, asked, 3)
+	})
+}
--- a/process/limiter/permit.go
+++ b/process/limiter/permit.go
@@ -49,13 +49,15 @@
 
 // Remaining returns for how long the VM gets no permit for a target, 0 if it may get one.
 func (l *Limiter) Remaining(t *bluebelldoor.Instance) time.Duration {
+	if !l.hasLimits.Load() {
+		return 0
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.limits[t.Incarnation()]
-	if known == nil || known.ended {
-		return 0
+	if known := l.current(t); known != nil {
+		return max(0, known.deniedUntil-l.clock.Now())
 	}
-	return max(0, known.deniedUntil-l.clock.Now())
+	return 0
 }
 
 // Acquire requests a permit to send one request to a target, and reports whether the
@@ -84,7 +86,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !reply.Granted {
-		known.deniedUntil = l.clock.Now() + max(minDenial, time.Duration(reply.RetryMs)*time.Millisecond)
+		retry := time.Duration(min(reply.RetryMs, maxPromise.Milliseconds())) * time.Millisecond
+		known.deniedUntil = l.clock.Now() + max(minDenial, retry)
 		return Permit{}, false
 	}
 	return Permit{t.Incarnation(), askedAt + permitValidity}, true
@@ -104,9 +107,13 @@
 	case silent:
 		return l.takeShare(known)
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	askCtx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	reply, err := l.fleet.Peers.Permit(ctx, address, in)
+	reply, err := l.fleet.Peers.Permit(askCtx, address, in)
+	if ctx.Err() != nil {
+		// The request has ended; the grantor may be well.
+		return &bluebelldoor.PermitReply{}
+	}
 	if err != nil {
 		l.log.Warn("grantor of permits did not answer", "target", target.ID, "peer", address, "error", err)
 		l.mu.Lock()
--- a/process/runner/limits_test.go
+++ b/process/runner/limits_test.go
@@ -202,3 +202,54 @@
 	got = f.sendFor(t, perSecond, time.Second)
 	assert.Equal(t, len(got.byStatus), 1, "callers got %v after the limit had ended", got.byStatus)
 }
+
+// TestRelayLimitOfEngines checks that generations wait for a permit that is due within
+// their objective, and that the others are refused then, not at their deadline.
+func TestRelayLimitOfEngines(t *testing.T) {
+	const callers, perSecond, maxTime = 20, 6.0, promptObjective
+	f, engine := startEngine(t)
+	engine.NameLimit(perSecond)
+	f.vms[0].generate(t, promptPath, "ask", 1)
+	began := time.Now()
+	got := make(chan callerResponse, callers)
+	for i := range callers {
+		go func() { got <- f.vms[0].generate(t, promptPath, fmt.Sprintf("during-%d", i), 3) }()
+	}
+	byStatus := map[int]int{}
+	for range callers {
+		a := <-got
+		byStatus[a.status]++
+		assert.Check(t, a.took < maxTime, "status %d after %v", a.status, a.took)
+		assert.Check(t, a.status == 200 || a.header.Get("Retry-After") != "", "status %d without Retry-After", a.status)
+	}
+	t.Logf("responses by status: %v", byStatus)
+	assert.Check(t, byStatus[200] >= 2, "%v", byStatus)
+	assert.Check(t, byStatus[200]+byStatus[503] == callers, "%v", byStatus)
+	assert.Check(t, float64(len(engine.Arrivals())) <= perSecond*time.Since(began).Seconds()+limitAllowance, "%d requests in %v", len(engine.Arrivals()), time.Since(began))
+}
+
+// TestRelayMoveToLimited checks that a stream whose engine leaves goes on at an engine that
+// limits requests, as one of the requests that this accepts.
+func TestRelayMoveToLimited(t *testing.T) {
+	const streams, events = 3, 150
+	f := startRelays(t, 1)
+	source := f.targets.Add("engine-1", "engine", "dc-0")
+	t.Cleanup(source.Stop)
+	t.Cleanup(f.targets.Add("app-1", "app", "dc-0").Stop)
+	f.awaitTargets(t)
+	got := make(chan callerResponse, streams)
+	for i := range streams {
+		go func() { got <- f.vms[0].generate(t, streamPath, fmt.Sprintf("moved-%d", i), events) }()
+	}
+	f.awaitRuns(t, "moved", streams)
+	limited := f.targets.Add("engine-2", "engine", "dc-0")
+	t.Cleanup(limited.Stop)
+	limited.NameLimit(4)
+	await(t, "the other engine is known", func() bool { return f.vms[0].Status().Revision >= f.store.Revision() })
+	source.Register("draining")
+	for range streams {
+		assertSingleRun(t, <-got, events)
+	}
+	assert.Equal(t, f.vms[0].Status().LimitedTargets, 1)
+	assert.Equal(t, len(limited.Arrivals()), streams)
+}
--- a/request/relayer/admit_test.go
+++ b/request/relayer/admit_test.go
@@ -78,3 +78,31 @@
 		assert.NilError(t, j.permitCopy(target))
 	})
 }
+
+// TestPermitLimited checks that no byte is sent to a target that named a limit after it
+// had been chosen, unless the request has a permit that is still valid.
+func TestPermitLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := testClock{time.Now()}
+		reg := startRegistrar(t, "x", clock)
+		self := bluebelldoor.MemberState{Name: "vm"}
+		limits := limiter.New(limiter.Fleet{
+			Self: "vm", Hubs: func() []bluebelldoor.MemberState { return []bluebelldoor.MemberState{self} },
+			Coverage: func() float64 { return 1 }, Registered: func(bluebelldoor.TargetIncarnation) bool { return true },
+			Changed: func() {}, Counted: func(string) {},
+		}, clock, hclog.NewNullLogger())
+		r := New(Settings{}, Sources{View: reg.View, EvidenceAge: reg.EvidenceAge}, Dependencies{Pauses: pauser.New(clock, hclog.NewNullLogger()), Limits: limits}, clock, hclog.NewNullLogger())
+		target := reg.View().Target("x")
+		j := &job{Relayer: r, ctx: t.Context(), call: &acceptor.Call{}, request: &bluebelldoor.RelayRequest{}}
+		assert.NilError(t, j.permitCopy(target))
+		r.HandleResponseHead(target.Instance, bluebelldoor.ResponseHead{Limit: bluebelldoor.RateLimit{Named: true, PerSecond: 2}})
+		assert.Equal(t, j.permit(target), errNoPermit)
+		assert.Equal(t, j.permitCopy(target), errNoPermit)
+		// The grantor's bucket starts empty and has a permit after half a second.
+		assert.Assert(t, j.awaitPermit(target, time.Second))
+		assert.NilError(t, j.permitCopy(target))
+		time.Sleep(time.Second)
+		assert.Equal(t, j.permit(target), errNoPermit)
+		assert.Equal(t, j.permitCopy(target), errNoPermit)
+	})
+}
--- a/request/relayer/targets.go
+++ b/request/relayer/targets.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"bluebelldoor"
@@ -12,6 +13,10 @@
 // that waits for one.
 const permitPollInterval = 10 * time.Millisecond
 
+// limitedSpread is over what time callers return that were refused because all targets
+// were at their limits: the targets accept them one by one.
+const limitedSpread = time.Second
+
 // HandleResponseHead applies what a target announces in a response header: that
 // it is leaving, that it asks for a pause, or that it limits requests. It is called
 // for every response.
@@ -73,11 +78,12 @@
 	if wait == 0 {
 		return bluebelldoor.NewRefusal(bluebelldoor.NoTarget, "no target of the service accepts requests").WithRetryAfter(defaultRetryAfter)
 	}
-	code, reason := bluebelldoor.TargetsLimited, "all targets have reached their limits or pause, the first accepts requests in "
 	if paused {
-		code, reason = bluebelldoor.TargetsPaused, "all targets have asked for a pause, the shortest ends in "
+		detail := "all targets have asked for a pause, the shortest ends in " + wait.Round(time.Millisecond).String()
+		return bluebelldoor.NewRefusal(bluebelldoor.TargetsPaused, detail).WithRetryAfter(wait + j.Pauses.Jitter(wait))
 	}
-	return bluebelldoor.NewRefusal(code, reason+wait.Round(time.Millisecond).String()).WithRetryAfter(wait + j.Pauses.Jitter(wait))
+	detail := "all targets have reached their limits or pause, the first accepts requests in " + wait.Round(time.Millisecond).String()
+	return bluebelldoor.NewRefusal(bluebelldoor.TargetsLimited, detail).WithRetryAfter(wait + rand.N(limitedSpread))
 }
 
 // acquirePermit requests a permit to send the request to a target, which it needs if the
--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -94,6 +94,7 @@
 	conns           map[net.Conn]bool // open connections
 	maxConns        int               // 0 for no limit
 	slots           int               // as registered
+	coldFor         time.Duration     // as registered
 	arrivals        []time.Time       // of callers' requests
 }
 
@@ -145,11 +146,11 @@
 func (t *Target) Register(state string) {
 	t.mu.Lock()
 	t.leaving = state == "draining"
-	slots := t.slots
+	slots, coldFor := t.slots, t.coldFor
 	t.mu.Unlock()
 	t.cluster.store.Put("servers/"+t.ID, map[string]any{
 		"service": t.Service, "address": t.Address(), "zone": t.Zone, "version": "v1", "slots": slots,
-		"state": state, "cold_ms": 0, "sequence": 1, "born": t.startedMs,
+		"state": state, "cold_ms": coldFor.Milliseconds(), "sequence": 1, "born": t.startedMs,
 	})
 }
 
@@ -161,6 +162,14 @@
 	t.Register("ready")
 }
 
+// RegisterCold writes the target's record again, as one that is cold for d.
+func (t *Target) RegisterCold(d time.Duration) {
+	t.mu.Lock()
+	t.coldFor = d
+	t.mu.Unlock()
+	t.Register("ready")
+}
+
 // SetBehaviour sets the function that chooses how the target responds to each request.
 func (t *Target) SetBehaviour(behaviour func(r *http.Request) Behaviour) {
 	t.mu.Lock()
