--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -66,10 +66,11 @@
 	// ApplyDelta processes a peer's records. If reply is set, they came in the reply to a
 	// message that was sent at sentAt.
 	ApplyDelta func(ctx context.Context, delta bluebelldoor.RecordDelta, sentAt time.Duration, reply bool)
-	// Limits, which may be nil, returns the digest of the limited targets that the VM knows, and the limits
-	// for a peer that has the given digest. It must not call the gossiper.
+	// Limits returns the digest of the limits of targets that the VM knows, and the limits
+	// for a peer that has the given digest. It must not call the gossiper. If it is nil, no
+	// limits are exchanged.
 	Limits func(digest uint64) (uint64, []bluebelldoor.TargetLimit)
-	// ApplyLimits processes the limits that a peer has sent.
+	// ApplyLimits processes the limits that a peer has sent. It is set if Limits is.
 	ApplyLimits func(peer string, limits []bluebelldoor.TargetLimit)
 }
 
--- a/request/relayer/targets.go
+++ b/request/relayer/targets.go
@@ -90,13 +90,12 @@
 // target is limited, and reports whether it may be sent.
 func (j *job) acquirePermit(t *registrar.Target) bool {
 	permit, granted := j.Limits.Acquire(j.ctx, t.Instance)
-	if !granted {
+	j.permitted = permit
+	if !granted && j.ctx.Err() == nil {
 		perSecond, _ := j.Limits.Limit(t.Instance)
 		j.log.Info("target at its limit", "id", j.request.ID, "target", t.ID, "limit", perSecond, "retryMs", j.Limits.Remaining(t.Instance).Milliseconds())
-		return false
 	}
-	j.permitted = permit
-	return true
+	return granted
 }
 
 // awaitPermit requests a permit until it is granted, for at most limit.
