--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -167,7 +167,7 @@
 // of the source, as copies between data centres take twice as long.
 func (j *job) reserveDestination(source *registrar.Target, tried map[string]bool, tokens int) (*registrar.Target, *placer.Reservation) {
 	now := j.clock.Now()
-	targets, candidates := j.candidates(now)
+	targets, candidates := j.destinations(now)
 	avoidLimited := j.hasUnlimited(targets, tried)
 	n := 0
 	for i, t := range targets {
--- a/request/relayer/targets.go
+++ b/request/relayer/targets.go
@@ -33,11 +33,23 @@
 
 // candidates returns the targets of the service that the request may be sent to.
 func (j *job) candidates(now time.Duration) ([]*registrar.Target, []placer.Candidate) {
+	return j.openTargets(now, j.unavailableFor)
+}
+
+// destinations returns the targets of the service to which a generation may be copied.
+// They include those at their limits: the stream waits for a permit after the copy.
+func (j *job) destinations(now time.Duration) ([]*registrar.Target, []placer.Candidate) {
+	return j.openTargets(now, func(t *registrar.Target) time.Duration { return j.Pauses.Remaining(t.Instance) })
+}
+
+// openTargets returns the targets that accept new work, are not excluded, and for which
+// unavailableFor returns 0.
+func (j *job) openTargets(now time.Duration, unavailableFor func(*registrar.Target) time.Duration) ([]*registrar.Target, []placer.Candidate) {
 	view := j.sources.View()
 	var targets []*registrar.Target
 	var candidates []placer.Candidate
 	for _, t := range view.ServiceTargets(j.serviceName) {
-		if !view.AcceptsNewWork(t.Instance) || j.excluded[t.ID] || j.unavailableFor(t) > 0 {
+		if !view.AcceptsNewWork(t.Instance) || j.excluded[t.ID] || unavailableFor(t) > 0 {
 			continue
 		}
 		targets = append(targets, t)
