--- a/process/limiter/limiter_test.go
+++ b/process/limiter/limiter_test.go
@@ -179,3 +179,21 @@
 		assert.Equal(t, asked, 3)
 	})
 }
+
+// TestLimitsOfOthers checks that a VM which no response has told of a limit learns it from
+// a peer's message, and as the grantor from a request for a permit.
+func TestLimitsOfOthers(t *testing.T) {
+	limit := bluebelldoor.TargetLimit{Target: bluebelldoor.TargetIncarnation{ID: "a"}, PerSecond: 4, AgeMs: 10}
+	for name, tell := range map[string]func(*limiter.Limiter){
+		"message": func(l *limiter.Limiter) { l.Merge("peer", []bluebelldoor.TargetLimit{limit}) },
+		"request": func(l *limiter.Limiter) { l.Permit(&bluebelldoor.PermitRequest{From: "peer", Limit: limit}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLimiter(peers{})
+			tell(l)
+			perSecond, limited := l.Limit(&bluebelldoor.Instance{ID: "a"})
+			assert.Assert(t, limited)
+			assert.Equal(t, perSecond, 4.0)
+		})
+	}
+}
