Log when the platform's store continues another history

The client reads the era that the store names, and a VM logs one line when it changes or when a revision goes back. Nothing is decided by it yet.

--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -201,6 +201,7 @@
 	delay := minRetryDelay
 	connected := false
 	history := true
+	era := uint64(0)
 	for ctx.Err() == nil {
 		if age, ok := r.EvidenceAge(); ok && age < r.staleAfter() && !r.role.ReadsForPeers() {
 			sleep(ctx, evidenceCheckInterval)
@@ -213,6 +214,10 @@
 			if !connected {
 				r.log.Info("platform answers", "revision", reply.Revision)
 			}
+			if reply.Era != era || reply.Revision < r.Revision() {
+				r.log.Warn("platform has another history", "era", reply.Era, "heldEra", era, "revision", reply.Revision, "heldRevision", r.Revision(), "full", reply.Full)
+			}
+			era = reply.Era
 			connected, history, delay = true, true, minRetryDelay
 			r.do(ctx, func() { r.applyReply(reply, sentAt) })
 			continue
--- a/relay.go
+++ b/relay.go
@@ -38,6 +38,9 @@
 
 // CatalogueReply is a reply of the catalogue.
 type CatalogueReply struct {
+	// Era is that of the catalogue when it replied, 0 if it names none. A catalogue that
+	// returns from an older copy of itself begins a new era.
+	Era uint64
 	// Revision is that of the catalogue when it replied.
 	Revision uint64
 	// Full is set if Records holds all records, not only the changes after a
--- a/standin/lender/store.go
+++ b/standin/lender/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -40,6 +41,7 @@
 type Store struct {
 	server   *httptest.Server
 	mu       sync.Mutex
+	era      uint64 // increases when the store returns from a copy; 0 is not named
 	revision uint64
 	items    map[string]item
 	mode     Mode
@@ -115,11 +117,37 @@
 	s.notify()
 }
 
+// Copy is a copy of a store's records.
+type Copy struct {
+	revision uint64
+	items    map[string]item
+}
+
+// Copy returns a copy of the records, to which Restore can return.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.revision, maps.Clone(s.items)}
+}
+
+// Restore returns the store to an older copy and begins a new era. Watches that wait are
+// cut.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.items = c.revision, maps.Clone(c.items)
+	s.notify()
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	mode := s.mode
 	s.requests++
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	}
 	s.mu.Unlock()
 	switch {
 	case mode == Unavailable:
@@ -192,6 +220,9 @@
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("wait_ms"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		changed := s.changed
@@ -201,10 +232,14 @@
 				events = append(events, i)
 			}
 		}
-		revision, mode := s.revision, s.mode
+		revision, mode, restored := s.revision, s.mode, s.era != era
 		s.mu.Unlock()
 		sort.Slice(events, func(a, b int) bool { return events[a].Revision < events[b].Revision })
-		if mode != Up {
+		if era > 0 && after > revision {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if mode != Up || restored {
 			panic(http.ErrAbortHandler)
 		}
 		if len(events) > 0 {
