Tests: a store that returns from an older copy (known red)

The fake catalogue returns to an older copy, once and twice, with revisions below, equal to and past the one that the VM holds.

--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -40,8 +40,10 @@
 	err      error
 	// historyLost makes watches fail until the next read.
 	historyLost bool
-	calls       int
-	changed     chan struct{}
+	// restored makes watches from a revision above the catalogue's fail.
+	restored bool
+	calls    int
+	changed  chan struct{}
 }
 
 func newCatalogue() *catalogue {
@@ -87,7 +89,7 @@
 	c.mu.Unlock()
 	for {
 		c.mu.Lock()
-		changed, err, historyLost := c.changed, c.err, c.historyLost
+		changed, err, historyLost := c.changed, c.err, c.historyLost || c.restored && after > c.revision
 		out := bluebelldoor.CatalogueReply{Revision: c.revision}
 		for _, r := range c.records {
 			if r.Revision > after {
@@ -99,6 +101,7 @@
 		case err != nil:
 			return bluebelldoor.CatalogueReply{}, err
 		case historyLost:
+			time.Sleep(time.Millisecond) // responses take time
 			return bluebelldoor.CatalogueReply{}, bluebelldoor.ErrHistoryLost
 		case len(out.Records) > 0:
 			return out, nil
