A request that waited is sent without a key only where none is needed now

Cause: the last check before a send took a request that was admitted without a key as allowed, though its route was no longer public, or keys had come into force, while it waited. Before: TestPermitOldView fails in 'public, then not' and 'no keys, then needed'; the six other cases (route removed or moved, key withdrawn, key of another account) pass, and so do TestPermitClosed and TestPermitLimited: a request that waits for a permit is checked against the newest view. Now: all pass.

--- a/request/relayer/admit.go
+++ b/request/relayer/admit.go
@@ -114,7 +114,8 @@
 	if !routing.Allows(j.request.Host, j.request.Path, j.serviceName) {
 		return errNotPermitted
 	}
-	if j.account == "" {
+	needsKey := routing.NeedsAPIKey() && !routing.Route(j.request.Host, j.request.Path).Public
+	if j.account == "" && !needsKey {
 		return nil
 	}
 	if age, _ := j.sources.EvidenceAge(); age > j.settings.Load().MaxKeyEvidenceAge {
--- a/request/relayer/admit_test.go
+++ b/request/relayer/admit_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -106,3 +107,75 @@
 		assert.Equal(t, j.permitCopy(target), errNoPermit)
 	})
 }
+
+// routingCatalogue publishes a target x and a routing.
+type routingCatalogue struct {
+	fakeCatalogue
+	routing bluebelldoor.RoutingSpec
+}
+
+func (c routingCatalogue) Read(ctx context.Context) (bluebelldoor.CatalogueReply, error) {
+	out, err := c.fakeCatalogue.Read(ctx)
+	out.Records = append(out.Records, bluebelldoor.Record{Key: "routing", Revision: 1})
+	return out, err
+}
+
+func (c routingCatalogue) Decode(r bluebelldoor.Record) bluebelldoor.Change {
+	if r.Key == "routing" {
+		return bluebelldoor.Change{Routing: bluebelldoor.NewRouting(c.routing)}
+	}
+	return c.fakeCatalogue.Decode(r)
+}
+
+// TestPermitOldView guards against CONFIG: a request that was admitted under one view and
+// waited, for a permit or for room, was sent under that view.
+func TestPermitOldView(t *testing.T) {
+	route := bluebelldoor.RouteSpec{Name: "r", Host: "h", Prefix: "/", Shares: []bluebelldoor.ServiceShare{{Service: "s", Weight: 1}}}
+	public, moved := route, route
+	public.Public = true
+	moved.Shares = []bluebelldoor.ServiceShare{{Service: "other", Weight: 1}}
+	accounts := []bluebelldoor.AccountKeys{{Account: "a", Keys: []string{"k"}}}
+	rekeyed := []bluebelldoor.AccountKeys{{Account: "b", Keys: []string{"k"}}}
+	spec := func(accounts []bluebelldoor.AccountKeys, routes ...bluebelldoor.RouteSpec) bluebelldoor.RoutingSpec {
+		return bluebelldoor.RoutingSpec{Version: 1, Routes: routes, Accounts: accounts}
+	}
+	for name, c := range map[string]struct {
+		before, after bluebelldoor.RoutingSpec
+		key           string
+		want          error
+	}{
+		"same":                 {spec(accounts, route), spec(accounts, route), "k", nil},
+		"route removed":        {spec(accounts, route), spec(accounts), "k", errNotPermitted},
+		"route moved":          {spec(accounts, route), spec(accounts, moved), "k", errNotPermitted},
+		"key withdrawn":        {spec(accounts, route), spec(rekeyed[:0], route), "k", errNotPermitted},
+		"key of another":       {spec(accounts, route), spec(rekeyed, route), "k", errNotPermitted},
+		"public, still":        {spec(accounts, public), spec(accounts, public), "", nil},
+		"public, then not":     {spec(accounts, public), spec(accounts, route), "", errNotPermitted},
+		"no keys, then needed": {spec(nil, route), spec(accounts, route), "", errNotPermitted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clock := testClock{time.Now()}
+				view := startView(t, c.before, clock)
+				sources := Sources{View: func() *registrar.View { return view }, EvidenceAge: func() (time.Duration, bool) { return 0, true }}
+				r := New(Settings{MaxKeyEvidenceAge: time.Second, MaxViewAge: time.Second}, sources, Dependencies{
+					Pauses: pauser.New(clock, hclog.NewNullLogger()), Limits: limiter.New(limiter.Fleet{}, clock, hclog.NewNullLogger()),
+				}, clock, hclog.NewNullLogger())
+				j := &job{Relayer: r, ctx: t.Context(), call: &acceptor.Call{}, request: &bluebelldoor.RelayRequest{Host: "h", Path: "/p", APIKey: c.key}}
+				assert.Assert(t, j.admit() == nil)
+				view = startView(t, c.after, clock)
+				assert.Equal(t, j.permit(view.Target("x")), c.want)
+			})
+		})
+	}
+}
+
+// startView returns the view of a registrar that has read a routing.
+func startView(t *testing.T, routing bluebelldoor.RoutingSpec, clock bluebelldoor.Clock) *registrar.View {
+	reg := registrar.New(routingCatalogue{fakeCatalogue{"x"}, routing}, clock, registrar.Role{
+		ReadsForPeers: func() bool { return true }, Standby: func() bool { return false }, Changed: func() {},
+	}, hclog.NewNullLogger())
+	t.Cleanup(reg.Start())
+	synctest.Wait()
+	return reg.View()
+}
