A VM that has read everything does not pass on changes from before that read

Callers: requests reached targets that had left (DRAIN), from VMs that had learnt of the change from a peer. Cause: after a full read a VM knows no removal before it, yet answered a peer that lagged with the records after the peer's revision, as if complete. The peer took the newest revision, and evidence for it, with a record that was gone. Found by random histories of restarts and cuts; TestRemovalsBeforeFullRead fails before in both cases (a VM that starts, a VM that lost the history), passes now. Such a peer now finds a gap, and asks for the full state or reads the platform itself. Class: an incremental answer whose base the sender did not hold.

--- a/process/registrar/book.go
+++ b/process/registrar/book.go
@@ -30,7 +30,7 @@
 	revision   uint64
 	records    map[string]bluebelldoor.Record
 	tombstones []bluebelldoor.Record
-	// prunedRevision is the newest revision among the discarded tombstones.
+	// prunedRevision is the newest revision among the removals that are not known.
 	prunedRevision uint64
 
 	routing      *bluebelldoor.Routing
@@ -93,6 +93,8 @@
 				changed = s.applyRecord(bluebelldoor.Record{Key: key, Revision: p.Revision, Removed: true}, now) || changed
 			}
 		}
+		// Records that came and went before the full read are not known.
+		s.prunedRevision = max(s.prunedRevision, p.Revision)
 	}
 	s.revision = max(s.revision, p.Revision)
 	s.logRegistered()
@@ -139,8 +141,8 @@
 	}
 }
 
-// delta returns the records after a revision. If tombstones since then have been
-// discarded, it returns all records if full is set, and none otherwise.
+// delta returns the records after a revision. If some removals since then are not known,
+// it returns all records if full is set, and none otherwise.
 func (s *state) delta(after uint64, full bool) bluebelldoor.RecordDelta {
 	out := bluebelldoor.RecordDelta{Base: after, Revision: s.revision}
 	if after < s.prunedRevision {
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -492,3 +492,75 @@
 		assert.Equal(t, len(exchange().Records), 0, "full state sent twice")
 	})
 }
+
+// TestRemovalsBeforeFullRead guards against DRAIN: a VM that had read everything, at its
+// start or after the platform had lost its history, passed changes on without the removals
+// before, and targets that had left stayed in use on its peers for good.
+func TestRemovalsBeforeFullRead(t *testing.T) {
+	for name, c := range map[string]struct {
+		startsLate bool // the VM that passes changes on starts after the removal
+	}{
+		"after its start":        {true},
+		"after the history lost": {false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newCatalogue()
+				store.put("t/y", "ready")
+				var reader *vm
+				if !c.startsLate {
+					reader = start(t, store, true)
+					synctest.Wait()
+				}
+				store.fail(errors.New("down"))
+				time.Sleep(time.Second)
+				store.put("t/x", "ready")
+				link := &linkedCatalogue{catalogue: store}
+				store.fail(nil)
+				follower := start(t, link, false)
+				time.Sleep(time.Millisecond)
+				assert.Assert(t, follower.open("x"))
+				link.cut.Store(true)
+				store.mu.Lock()
+				store.historyLost = true
+				delete(store.records, "t/x")
+				store.revision++
+				store.mu.Unlock()
+				store.put("t/z", "ready")
+				if c.startsLate {
+					reader = start(t, store, true)
+				}
+				time.Sleep(time.Second)
+				assert.Assert(t, !reader.open("x") && reader.open("z"))
+				for range 3 {
+					request := follower.Delta(t.Context(), reader.Revision(), false)
+					reply := reader.Delta(t.Context(), request.Revision, request.WantFull)
+					follower.ApplyDelta(t.Context(), reply, follower.clock.Now(), true)
+					time.Sleep(time.Second)
+				}
+				assert.Assert(t, !follower.open("x"))
+				assert.Assert(t, follower.open("z"))
+			})
+		})
+	}
+}
+
+// linkedCatalogue is a catalogue behind a link that may be cut.
+type linkedCatalogue struct {
+	*catalogue
+	cut atomic.Bool
+}
+
+func (c *linkedCatalogue) Read(ctx context.Context) (bluebelldoor.CatalogueReply, error) {
+	if c.cut.Load() {
+		return bluebelldoor.CatalogueReply{}, errors.New("cut off")
+	}
+	return c.catalogue.Read(ctx)
+}
+
+func (c *linkedCatalogue) Watch(ctx context.Context, after uint64, wait time.Duration) (bluebelldoor.CatalogueReply, error) {
+	if c.cut.Load() {
+		return bluebelldoor.CatalogueReply{}, errors.New("cut off")
+	}
+	return c.catalogue.Watch(ctx, after, wait)
+}
