--- a/fleet.go
+++ b/fleet.go
@@ -21,7 +21,8 @@
 	// the part recently spent on callers' traffic, excluding messages between VMs.
 	CapacityCores float64 `cbor:"capacity"`
 	UsedCores     float64 `cbor:"use"`
-	// Revision is the catalogue revision that the VM holds.
+	// Era and Revision are the catalogue position that the VM holds.
+	Era      uint64 `cbor:"era,omitempty"`
 	Revision uint64 `cbor:"revision"`
 	// AgeMs is the age of this state in milliseconds if another VM passes it on.
 	AgeMs int64 `cbor:"ageMs,omitempty"`
@@ -60,11 +61,32 @@
 }
 
 // RecordDelta holds the catalogue records of a VM that a peer lacks.
+//
+// A build without eras sends and ignores all eras as 0.
 type RecordDelta struct {
-	// Base is the revision that Records follow, 0 if Records is complete.
-	Base     uint64   `cbor:"base"`
+	// BaseEra and Base are the position that Records follow. Base is 0 if Records is
+	// complete.
+	BaseEra uint64 `cbor:"baseEra,omitempty"`
+	Base    uint64 `cbor:"base"`
+	// Era and Revision are the position that the sender holds.
+	Era      uint64   `cbor:"era,omitempty"`
 	Revision uint64   `cbor:"revision"`
 	Records  []Record `cbor:"records,omitempty"`
+	// CrossesEras is set if Records turn the state at the base, which is of an earlier
+	// era, into that of Era. Only a VM at exactly that base can use them.
+	CrossesEras bool `cbor:"crossesEras,omitempty"`
+	// UnseenEra and Unseen are the newest position up to which the sender does not know
+	// what came and went after the base, 0 if it knows all. The receiver does not either.
+	UnseenEra uint64 `cbor:"unseenEra,omitempty"`
+	Unseen    uint64 `cbor:"unseen,omitempty"`
+	// RoutingVersion is the version of the routing in force at the sender. Routing is its
+	// record if the receiver's version is lower and the catalogue doesn't show it.
+	RoutingVersion uint64  `cbor:"routingVersion,omitempty"`
+	Routing        *Record `cbor:"routing,omitempty"`
+	// RetainedDigest identifies what the sender retains of an earlier era, 0 for nothing.
+	// Retained is set in replies to a VM with another digest.
+	RetainedDigest uint64         `cbor:"retainedDigest,omitempty"`
+	Retained       *RetainedState `cbor:"retained,omitempty"`
 	// EvidenceAgeMs is the age, when the message is sent, of the proof that
 	// Revision was the platform's newest; negative if there is no proof.
 	EvidenceAgeMs int64 `cbor:"evidenceAgeMs"`
@@ -75,6 +97,21 @@
 	Leaving []TargetIncarnation `cbor:"leaving,omitempty"`
 }
 
+// Position returns the position that the sender holds.
+func (d *RecordDelta) Position() Position { return Position{d.Era, d.Revision} }
+
+// RetainedState is what a VM keeps in force for ForMs, though the catalogue, which has
+// returned from an older copy, says otherwise.
+type RetainedState struct {
+	ForMs int64 `cbor:"forMs"`
+	// Gone are records of targets that had left. They are not used.
+	Gone []Record `cbor:"gone,omitempty"`
+	// OutOfService are the lost records of data centres out of service.
+	OutOfService []Record `cbor:"outOfService,omitempty"`
+	// Leaving are the targets that had announced that they were leaving.
+	Leaving []TargetIncarnation `cbor:"leaving,omitempty"`
+}
+
 // ExchangeMessage carries member states and record changes, in both directions.
 type ExchangeMessage struct {
 	From    string        `cbor:"from"`
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -61,8 +61,9 @@
 	// ApplyPeerLoads applies a peer's loads, and reports whether it could: a delta can't be
 	// applied without the loads before it. It must not call the gossiper.
 	ApplyPeerLoads func(peer string, delta bluebelldoor.LoadDelta) bool
-	// Delta returns the records after a revision, or all of them if full is set.
-	Delta func(ctx context.Context, after uint64, full bool) bluebelldoor.RecordDelta
+	// Delta returns the records after a position. In a reply, request is the peer's delta,
+	// which may ask for more.
+	Delta func(ctx context.Context, after bluebelldoor.Position, request *bluebelldoor.RecordDelta) bluebelldoor.RecordDelta
 	// ApplyDelta processes a peer's records. If reply is set, they came in the reply to a
 	// message that was sent at sentAt.
 	ApplyDelta func(ctx context.Context, delta bluebelldoor.RecordDelta, sentAt time.Duration, reply bool)
@@ -165,7 +166,7 @@
 	// name is empty for an unknown seed.
 	name     string
 	address  string
-	revision uint64
+	position bluebelldoor.Position
 	members  []bluebelldoor.MemberState
 }
 
@@ -220,7 +221,7 @@
 	if m.PeerAddress == g.table.Self().PeerAddress {
 		return to
 	}
-	return append(to, recipient{m.Name, m.PeerAddress, m.Revision, members})
+	return append(to, recipient{m.Name, m.PeerAddress, bluebelldoor.Position{Era: m.Era, Revision: m.Revision}, members})
 }
 
 // hubRecipients returns the recipients of a hub's round. The caller holds g.mu.
@@ -322,7 +323,7 @@
 	var out []recipient
 	for _, seed := range g.seeds {
 		if !known[seed] {
-			out = append(out, recipient{"", seed, 0, g.allAlive()})
+			out = append(out, recipient{"", seed, bluebelldoor.Position{}, g.allAlive()})
 		}
 	}
 	out = g.appendRandom(out, v, v.alive)
@@ -386,7 +387,7 @@
 	g.mu.Lock()
 	message := g.buildMessage(to.name, to.members)
 	g.mu.Unlock()
-	message.Delta = g.hooks.Delta(ctx, to.revision, false)
+	message.Delta = g.hooks.Delta(ctx, to.position, nil)
 	sentAt := g.clock.Now()
 	reply, err := g.peers.Exchange(ctx, to.address, message)
 	g.mu.Lock()
@@ -467,6 +468,6 @@
 	g.mu.Lock()
 	out := g.buildMessage(in.From, g.replyMembers(in.From, known))
 	g.mu.Unlock()
-	out.Delta = g.hooks.Delta(ctx, in.Delta.Revision, in.Delta.WantFull)
+	out.Delta = g.hooks.Delta(ctx, in.Delta.Position(), &in.Delta)
 	return out
 }
--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -158,7 +158,7 @@
 		},
 		OwnLoads:       func() []bluebelldoor.TargetLoad { return nil },
 		ApplyPeerLoads: func(string, bluebelldoor.LoadDelta) bool { return true },
-		Delta: func(context.Context, uint64, bool) bluebelldoor.RecordDelta {
+		Delta: func(context.Context, bluebelldoor.Position, *bluebelldoor.RecordDelta) bluebelldoor.RecordDelta {
 			return bluebelldoor.RecordDelta{EvidenceAgeMs: -1}
 		},
 		ApplyDelta: func(context.Context, bluebelldoor.RecordDelta, time.Duration, bool) {},
@@ -468,7 +468,7 @@
 			Describe:       func(m *bluebelldoor.MemberState) { m.Ready = true },
 			OwnLoads:       func() []bluebelldoor.TargetLoad { return nil },
 			ApplyPeerLoads: func(string, bluebelldoor.LoadDelta) bool { return true },
-			Delta: func(context.Context, uint64, bool) bluebelldoor.RecordDelta {
+			Delta: func(context.Context, bluebelldoor.Position, *bluebelldoor.RecordDelta) bluebelldoor.RecordDelta {
 				return bluebelldoor.RecordDelta{EvidenceAgeMs: -1}
 			},
 			ApplyDelta: func(context.Context, bluebelldoor.RecordDelta, time.Duration, bool) {},
--- a/process/recorder/relaymetrics.go
+++ b/process/recorder/relaymetrics.go
@@ -76,6 +76,8 @@
 // Gauges are current values of a VM's state.
 type Gauges struct {
 	RoutingVersion float64
+	// PlatformEra increases when the platform's store returns from an older copy.
+	PlatformEra float64
 	// EvidenceAgeSeconds is the age of the evidence that the VM's view was current, or
 	// negative if there is none.
 	EvidenceAgeSeconds float64
@@ -95,6 +97,7 @@
 		help  string
 		value func(Gauges) float64
 	}{
+		"platform_era":         {"Era of the platform's store that the VM holds; it increases when the store returns from an older copy.", func(g Gauges) float64 { return g.PlatformEra }},
 		"routing_version":      {"Version of the routing in force.", func(g Gauges) float64 { return g.RoutingVersion }},
 		"evidence_age_seconds": {"Age of the proof that what the VM holds was the newest, below 0 if there is none.", func(g Gauges) float64 { return g.EvidenceAgeSeconds }},
 		"members":              {"VMs that are alive.", func(g Gauges) float64 { return g.Members }},
--- a/process/registrar/book.go
+++ b/process/registrar/book.go
@@ -1,6 +1,8 @@
 package registrar
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -15,6 +17,12 @@
 // maxRegisteredLines bounds the log lines about new targets per platform response.
 const maxRegisteredLines = 8
 
+// maxSpans bounds the spans that a VM knows to have crossed by full reads.
+const maxSpans = 4
+
+// span is the part of the catalogue's history between two positions.
+type span struct{ from, to bluebelldoor.Position }
+
 // closedTarget is a target that no longer takes new work.
 type closedTarget struct {
 	target *Target
@@ -27,16 +35,26 @@
 	decode func(bluebelldoor.Record) bluebelldoor.Change
 	log    hclog.Logger
 
-	revision   uint64
+	position   bluebelldoor.Position
 	records    map[string]bluebelldoor.Record
 	tombstones []bluebelldoor.Record
-	// prunedRevision is the newest revision among the removals that are not known.
-	prunedRevision uint64
+	// pruned is the newest position among the discarded tombstones.
+	pruned bluebelldoor.Position
+	// unseen are the latest spans that the VM, or the peer that told it, crossed by a full
+	// read. Records that came and went within one are not known.
+	unseen []span
+	// restoring is set while the records of a new era are applied.
+	restoring bool
+	// replaced is the record that the one being applied replaces.
+	replaced  bluebelldoor.Record
+	retention retention
 
-	routing      *bluebelldoor.Routing
-	targets      map[string]*Target
-	outOfService map[string]string
-	closed       []closedTarget
+	routing *bluebelldoor.Routing
+	// routingRecord is the record of routing, which the catalogue may no longer show.
+	routingRecord bluebelldoor.Record
+	targets       map[string]*Target
+	outOfService  map[string]string
+	closed        []closedTarget
 	// newlyRegistered are the targets that the current response added, for the log.
 	newlyRegistered []*bluebelldoor.Instance
 
@@ -55,6 +73,7 @@
 		decode:       decode,
 		log:          log,
 		records:      map[string]bluebelldoor.Record{},
+		retention:    newRetention(),
 		targets:      map[string]*Target{},
 		outOfService: map[string]string{},
 		leaveNotices: map[bluebelldoor.TargetIncarnation]time.Duration{},
@@ -82,21 +101,66 @@
 		s.log.Info("platform was silent", "forMs", silence.Milliseconds(), "lapsedUntilMs", lapseFor.Milliseconds())
 	}
 	changed := s.expireLapsed(now)
+	if p.Era > s.position.Era {
+		s.beginEra(now)
+	}
+	records := p.Records
+	if s.restoring {
+		// A removal of the earlier era may come with a record of the new one.
+		records = slices.Clone(records)
+		slices.SortStableFunc(records, func(a, b bluebelldoor.Record) int {
+			return cmp.Or(cmp.Compare(a.Era, b.Era), cmp.Compare(a.Revision, b.Revision))
+		})
+	}
+	taken, dropped := 0, 0
 	present := map[string]bool{}
-	for _, r := range p.Records {
+	for _, r := range records {
 		present[r.Key] = true
+		if p.Full {
+			// A peer may have held the record since an earlier era.
+			r.Era = p.Era
+		}
+		if held := s.records[r.Key]; !p.Full && held.Era < r.Era && sameRecord(held, r) {
+			// It was written again as it had been, under the same revision. Peers may not
+			// have it yet.
+			s.records[r.Key] = r
+		}
+		before := s.records[r.Key].Position()
 		changed = s.applyRecord(r, now) || changed
+		switch after := s.records[r.Key].Position(); {
+		case after == before:
+		case r.Removed:
+			dropped++
+		default:
+			taken++
+		}
 	}
 	if p.Full {
 		for key, held := range s.records {
-			if !present[key] && held.Revision <= p.Revision {
-				changed = s.applyRecord(bluebelldoor.Record{Key: key, Revision: p.Revision, Removed: true}, now) || changed
+			if !present[key] && !held.Position().After(p.Position()) || !present[key] && s.restoring {
+				dropped++
+				changed = s.applyRecord(bluebelldoor.Record{Key: key, Era: p.Era, Revision: p.Revision, Removed: true}, now) || changed
 			}
 		}
-		// Records that came and went before the full read are not known.
-		s.prunedRevision = max(s.prunedRevision, p.Revision)
 	}
-	s.revision = max(s.revision, p.Revision)
+	if s.restoring {
+		source := "platform"
+		if !p.Full {
+			source = "peer"
+		}
+		s.logEra(p.Position(), source, taken, dropped)
+		s.restoring = false
+	}
+	unseen := p.Unseen
+	if p.Full {
+		unseen = p.Position()
+	}
+	if unseen.After(s.position) {
+		s.addUnseen(span{s.position, unseen})
+	}
+	if p.Position().After(s.position) {
+		s.position = p.Position()
+	}
 	s.logRegistered()
 	return changed
 }
@@ -111,7 +175,7 @@
 		for _, i := range registered {
 			count[i.Service]++
 		}
-		s.log.Info("targets registered", "count", len(registered), "byService", count, "revision", s.revision)
+		s.log.Info("targets registered", "count", len(registered), "byService", count, "era", s.position.Era, "revision", s.position.Revision)
 		return
 	}
 	for _, i := range registered {
@@ -121,69 +185,123 @@
 
 // applyRecord applies one record unless the same or a newer revision of it is held.
 func (s *state) applyRecord(r bluebelldoor.Record, now time.Duration) bool {
-	if held, ok := s.records[r.Key]; ok && held.Revision >= r.Revision {
+	held, ok := s.records[r.Key]
+	if ok && (sameRecord(held, r) || !s.restoring && !r.Position().After(held.Position())) {
 		return false
 	}
+	s.replaced = held
 	if r.Removed {
 		delete(s.records, r.Key)
 		s.addTombstone(r)
 	} else {
 		s.records[r.Key] = r
 	}
-	return s.applyChange(r.Key, s.decode(r), now)
+	return s.applyChange(r, now)
 }
 
 func (s *state) addTombstone(r bluebelldoor.Record) {
-	s.tombstones = append(s.tombstones, bluebelldoor.Record{Key: r.Key, Revision: r.Revision, Removed: true})
+	s.tombstones = append(s.tombstones, bluebelldoor.Record{Key: r.Key, Era: r.Era, Revision: r.Revision, Removed: true})
 	if len(s.tombstones) > maxTombstones {
-		s.prunedRevision = max(s.prunedRevision, s.tombstones[0].Revision)
+		if pruned := s.tombstones[0].Position(); pruned.After(s.pruned) {
+			s.pruned = pruned
+		}
 		s.tombstones = s.tombstones[1:]
 	}
 }
 
-// delta returns the records after a revision. If some removals since then are not known,
-// it returns all records if full is set, and none otherwise.
-func (s *state) delta(after uint64, full bool) bluebelldoor.RecordDelta {
-	out := bluebelldoor.RecordDelta{Base: after, Revision: s.revision}
-	if after < s.prunedRevision {
+// delta returns the records after a position. If the changes since then are not known, it
+// returns all records if full is set, and none otherwise.
+func (s *state) delta(after bluebelldoor.Position, full bool) bluebelldoor.RecordDelta {
+	out := bluebelldoor.RecordDelta{BaseEra: after.Era, Base: after.Revision, Era: s.position.Era, Revision: s.position.Revision}
+	changed := func(r bluebelldoor.Record) bool { return r.Position().After(after) }
+	switch {
+	case after.Revision == 0 || !s.knowsRemovalsAfter(after):
 		out.Base = 0
+		if !full {
+			out.BaseEra, out.Base = s.position.Era, s.position.Revision
+			return out
+		}
+		changed = func(r bluebelldoor.Record) bool { return !r.Removed }
+	case after.Era == 0:
+		// A build without eras compares revisions.
+		changed = func(r bluebelldoor.Record) bool { return r.Revision > after.Revision }
+	default:
+		out.CrossesEras = after.Era < s.position.Era
 	}
-	if out.Base == 0 && !full {
-		out.Base = s.revision
-		return out
+	for _, u := range s.unseen {
+		if to := (bluebelldoor.Position{Era: out.UnseenEra, Revision: out.Unseen}); u.to.After(after) && u.to.After(to) {
+			out.UnseenEra, out.Unseen = u.to.Era, u.to.Revision
+		}
 	}
 	for _, r := range s.records {
-		if r.Revision > out.Base {
+		if changed(r) {
 			out.Records = append(out.Records, r)
 		}
 	}
-	if out.Base == 0 {
-		return out
-	}
 	for _, r := range s.tombstones {
-		if r.Revision > out.Base {
+		if changed(r) {
 			out.Records = append(out.Records, r)
 		}
 	}
 	return out
 }
 
-// applyChange applies a decoded record and reports whether the view changes.
-func (s *state) applyChange(key string, c bluebelldoor.Change, now time.Duration) bool {
+// addUnseen records that the VM does not know what came and went within a span.
+func (s *state) addUnseen(crossed span) {
+	if crossed.from.Revision == 0 {
+		s.pruned = crossed.to
+		return
+	}
+	s.unseen = append(s.unseen, crossed)
+	if len(s.unseen) > maxSpans {
+		if to := s.unseen[0].to; to.After(s.pruned) {
+			s.pruned = to
+		}
+		s.unseen = s.unseen[1:]
+	}
+}
+
+// knowsRemovalsAfter reports whether the VM knows all removals after a position. That of a
+// build without eras is compared by its revision.
+func (s *state) knowsRemovalsAfter(after bluebelldoor.Position) bool {
+	newer := func(a, b bluebelldoor.Position) bool {
+		if after.Era == 0 {
+			return a.Revision > b.Revision
+		}
+		return a.After(b)
+	}
+	if newer(s.pruned, after) {
+		return false
+	}
+	return !slices.ContainsFunc(s.unseen, func(u span) bool { return newer(after, u.from) && newer(u.to, after) })
+}
+
+// applyChange applies a record and reports whether the view changes.
+func (s *state) applyChange(r bluebelldoor.Record, now time.Duration) bool {
+	key, c := r.Key, s.decode(r)
+	delete(s.retention.withheld, key)
 	switch {
 	case c.Err != nil:
 		s.log.Warn("cannot decode platform record", "key", key, "error", c.Err)
 		return s.removeTarget(key, now, false)
 	case c.Routing != nil:
-		return s.setRouting(c.Routing)
+		return s.setRouting(c.Routing, r)
 	case c.DataCentre != "" && c.Removed:
+		if s.retainOutOfService(key, now) {
+			return false
+		}
 		s.log.Info("data centre back in service", "dataCentre", c.DataCentre)
 		delete(s.outOfService, key)
+		delete(s.retention.outOfService, key)
 		return true
 	case c.DataCentre != "":
 		s.log.Info("data centre out of service", "dataCentre", c.DataCentre)
 		s.outOfService[key] = c.DataCentre
+		delete(s.retention.outOfService, key)
 		return true
+	case c.Instance != nil && s.withhold(r, c.Instance, now):
+		t := s.targets[key]
+		return s.removeTarget(key, now, t != nil && t.Incarnation() != c.Instance.Incarnation())
 	case c.Instance != nil:
 		return s.register(key, c.Instance, now)
 	case c.Removed:
@@ -193,12 +311,12 @@
 }
 
 // setRouting puts routing in force if its version is higher than the current one.
-func (s *state) setRouting(routing *bluebelldoor.Routing) bool {
+func (s *state) setRouting(routing *bluebelldoor.Routing, r bluebelldoor.Record) bool {
 	if s.routing != nil && routing.Version() <= s.routing.Version() {
 		return false
 	}
 	s.log.Info("routing in force", "version", routing.Version())
-	s.routing = routing
+	s.routing, s.routingRecord = routing, r
 	return true
 }
 
@@ -220,8 +338,12 @@
 		t.LeavingSince = s.verifiedAt
 	}
 	s.targets[key] = t
+	delete(s.retention.departures, i.Incarnation())
 	switch {
 	case !same:
+		if previous != nil {
+			s.recordDeparture(previous, now)
+		}
 		if previous != nil && !previous.Leaving {
 			s.addClosed(previous, "restarted")
 		}
@@ -246,6 +368,7 @@
 		return true
 	}
 	delete(s.targets, key)
+	s.recordDeparture(t, now)
 	if !t.Leaving {
 		s.addClosed(t, "gone")
 	}
@@ -261,6 +384,7 @@
 	for key, t := range s.targets {
 		if t.Lapsed {
 			delete(s.targets, key)
+			s.recordDeparture(t, now)
 			s.addClosed(t, "did not come back")
 			changed = true
 		}
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -46,6 +47,11 @@
 	// fullStateDelay is how long after its start a VM that could not read the
 	// platform asks its peers for the full state.
 	fullStateDelay = time.Second
+	// maxPeerWait bounds two waits for peers: after a restore of the platform's store, a VM
+	// that does not read on behalf of its peers waits at random up to it for their records
+	// before it reads everything itself; and a VM that starts takes the store's state as
+	// proven only once a peer has answered, or after this time.
+	maxPeerWait = 700 * time.Millisecond
 	// controlInterval is the time between checks for expired state.
 	controlInterval = 200 * time.Millisecond
 )
@@ -64,10 +70,17 @@
 
 	view     atomic.Pointer[View]
 	evidence atomic.Int64
-	revision atomic.Uint64
-	updates  chan func()
-	state    *state
-	started  time.Duration
+	position atomic.Pointer[bluebelldoor.Position]
+	// newestEra is the newest era that the VM has heard of. Until it holds that era, nothing
+	// proves its view.
+	newestEra atomic.Uint64
+	// peerAnswered is set once a peer that holds records has answered.
+	peerAnswered atomic.Bool
+	// carried is what deltas carry beside the catalogue's records.
+	carried atomic.Pointer[carriedState]
+	updates chan func()
+	state   *state
+	started time.Duration
 	// watchWait is maxWatchWait or less, depending on the VM's settings.
 	watchWait time.Duration
 	// gap is set if a peer's delta was based on a revision newer than the one held.
@@ -78,6 +91,15 @@
 	controlDone chan struct{}
 }
 
+// carriedState is what a VM keeps in force that the catalogue may not show.
+type carriedState struct {
+	routingVersion uint64
+	// routing is the record of the routing in force if the catalogue shows another, else nil.
+	routing  *bluebelldoor.Record
+	retained *bluebelldoor.RetainedState
+	digest   uint64
+}
+
 // Role is a VM's part in reading the platform.
 type Role struct {
 	// ReadsForPeers reports whether the VM reads the platform on behalf of its peers.
@@ -115,6 +137,8 @@
 	r.state = newState(catalogue.Decode, log)
 	r.view.Store(&View{})
 	r.evidence.Store(-1)
+	r.position.Store(&bluebelldoor.Position{})
+	r.carried.Store(&carriedState{})
 	return r
 }
 
@@ -124,8 +148,8 @@
 // View returns the current view.
 func (r *Registrar) View() *View { return r.view.Load() }
 
-// Revision returns the platform revision that the VM holds.
-func (r *Registrar) Revision() uint64 { return r.revision.Load() }
+// Position returns the position of the platform's records that the VM holds.
+func (r *Registrar) Position() bluebelldoor.Position { return *r.position.Load() }
 
 // EvidenceAge returns the age of the newest evidence that the view matched the
 // platform's state, and false if there has been none. The age counts from the
@@ -140,6 +164,14 @@
 
 // renewEvidence records that the view matched the platform's state at a time.
 func (r *Registrar) renewEvidence(at time.Duration) {
+	position := r.Position()
+	if position.Era < r.newestEra.Load() {
+		return
+	}
+	if position.Era > 0 && !r.peerAnswered.Load() && r.clock.Now()-r.started < maxPeerWait {
+		// The store may have returned from a copy that lacks what peers know.
+		return
+	}
 	if int64(at) > r.evidence.Load() {
 		r.evidence.Store(int64(at))
 	}
@@ -177,7 +209,8 @@
 			update()
 		case <-ticker.C:
 			now := r.clock.Now()
-			r.publish(r.state.expireLapsed(now))
+			changed := r.state.expireRetained(now, time.Duration(r.evidence.Load()))
+			r.publish(r.state.expireLapsed(now) || changed)
 			notices := r.state.recentLeaveNotices(now)
 			r.recentLeaveNotices.Store(&notices)
 		}
@@ -200,8 +233,7 @@
 func (r *Registrar) readPlatform(ctx context.Context) {
 	delay := minRetryDelay
 	connected := false
-	history := true
-	era := uint64(0)
+	history, lost := true, 0
 	for ctx.Err() == nil {
 		if age, ok := r.EvidenceAge(); ok && age < r.staleAfter() && !r.role.ReadsForPeers() {
 			sleep(ctx, evidenceCheckInterval)
@@ -209,25 +241,39 @@
 		}
 		sentAt := r.clock.Now()
 		reply, err := r.fetch(ctx, history)
+		held := r.Position()
+		switch {
+		case err == nil && reply.Era < held.Era:
+			err = errors.Errorf("platform replied from era %d, the VM holds era %d", reply.Era, held.Era)
+		case err == nil && reply.Era > held.Era && !reply.Full:
+			err = errors.Wrapf(bluebelldoor.ErrHistoryLost, "platform is in era %d", reply.Era)
+		}
 		switch {
 		case err == nil:
 			if !connected {
-				r.log.Info("platform answers", "revision", reply.Revision)
+				r.log.Info("platform answers", "era", reply.Era, "revision", reply.Revision)
 			}
-			if reply.Era != era || reply.Revision < r.Revision() {
-				r.log.Warn("platform has another history", "era", reply.Era, "heldEra", era, "revision", reply.Revision, "heldRevision", r.Revision(), "full", reply.Full)
+			if reply.Era == held.Era && reply.Revision < held.Revision {
+				r.log.Warn("platform's revision went back in one era", "era", reply.Era, "revision", reply.Revision, "heldRevision", held.Revision)
+			}
+			if !reply.Full {
+				lost = 0
 			}
-			era = reply.Era
 			connected, history, delay = true, true, minRetryDelay
 			r.do(ctx, func() { r.applyReply(reply, sentAt) })
 			continue
 		case errors.Is(err, bluebelldoor.ErrHistoryLost):
-			r.log.Info("history lost, reading all", "revision", r.Revision())
-			history = false
+			r.log.Info("history lost, reading all", "cause", err.Error(), "era", held.Era, "revision", held.Revision)
+			if lost++; lost > 1 {
+				// The full read did not help: the store's revisions are below the one held.
+				sleep(ctx, r.maxRetryDelay())
+			}
+			r.awaitPeers(ctx, held.Era)
+			history = r.Position().Era > held.Era
 			continue
 		case connected:
 			age, _ := r.EvidenceAge()
-			r.log.Warn("platform lost", "error", err, "ageMs", age.Milliseconds(), "revision", r.Revision())
+			r.log.Warn("platform lost", "error", err, "ageMs", age.Milliseconds(), "era", held.Era, "revision", held.Revision)
 			connected = false
 		}
 		sleep(ctx, delay)
@@ -235,6 +281,15 @@
 	}
 }
 
+// awaitPeers waits at random up to maxPeerWait until the records of an era after this one
+// have come from a peer, unless the VM reads the platform on behalf of its peers.
+func (r *Registrar) awaitPeers(ctx context.Context, era uint64) {
+	until := r.clock.Now() + rand.N(maxPeerWait)
+	for !r.role.ReadsForPeers() && r.Position().Era == era && r.clock.Now() < until && ctx.Err() == nil {
+		sleep(ctx, minRetryDelay)
+	}
+}
+
 func (r *Registrar) staleAfter() time.Duration {
 	if r.role.Standby() {
 		return standbyStaleAfter
@@ -257,33 +312,46 @@
 }
 
 func (r *Registrar) fetch(ctx context.Context, history bool) (bluebelldoor.CatalogueReply, error) {
-	if revision := r.Revision(); revision > 0 && history {
-		return r.catalogue.Watch(ctx, revision, r.watchWait)
+	if position := r.Position(); position.Revision > 0 && history {
+		return r.catalogue.Watch(ctx, position, r.watchWait)
 	}
 	return r.catalogue.Read(ctx)
 }
 
 func (r *Registrar) applyReply(p bluebelldoor.CatalogueReply, sentAt time.Duration) {
-	before := r.state.revision
+	before := r.state.position
+	if p.Era < before.Era || p.Era > before.Era && !p.Full {
+		// The VM has heard of a new era from a peer while the platform replied.
+		return
+	}
+	r.noteEra(p.Era)
 	r.gap.Store(false)
 	silence, _ := r.EvidenceAge()
 	changed := r.state.apply(p, r.clock.Now(), silence)
 	r.publish(changed)
-	if p.Revision >= r.state.revision {
+	if !r.state.position.After(p.Position()) {
 		r.renewEvidence(sentAt)
 	}
-	if r.state.revision > before {
+	if r.state.position.After(before) {
 		r.role.Changed()
 	}
 }
 
-// Delta returns the changes after the revision that a peer holds. The full state
-// is sent only if full is set: it is large, and a VM that starts reads it from the
-// platform.
-func (r *Registrar) Delta(ctx context.Context, after uint64, full bool) bluebelldoor.RecordDelta {
-	revision := r.Revision()
-	out := bluebelldoor.RecordDelta{Base: revision, Revision: revision}
-	if after != revision && (after > 0 || full) {
+// noteEra records that the platform is in an era, or in a later one.
+func (r *Registrar) noteEra(era uint64) {
+	for known := r.newestEra.Load(); era > known && !r.newestEra.CompareAndSwap(known, era); {
+		known = r.newestEra.Load()
+	}
+}
+
+// Delta returns the changes after the position that a peer holds. request is the peer's
+// delta if this one replies to it, else nil. The full state is sent only if the request
+// asks for it: it is large, and a VM that starts reads it from the platform.
+func (r *Registrar) Delta(ctx context.Context, after bluebelldoor.Position, request *bluebelldoor.RecordDelta) bluebelldoor.RecordDelta {
+	position := r.Position()
+	full := request != nil && request.WantFull
+	out := bluebelldoor.RecordDelta{BaseEra: position.Era, Base: position.Revision, Era: position.Era, Revision: position.Revision}
+	if after != position && (after.Revision > 0 || full) {
 		r.do(ctx, func() { out = r.state.delta(after, full) })
 	}
 	out.EvidenceAgeMs = -1
@@ -291,36 +359,86 @@
 		out.EvidenceAgeMs = age.Milliseconds() + 1
 	}
 	out.Leaving = r.leavingIncarnations()
-	out.WantFull = (revision == 0 || r.gap.Load()) && r.clock.Now()-r.started > fullStateDelay
+	out.WantFull = (position.Revision == 0 || r.gap.Load()) && r.clock.Now()-r.started > fullStateDelay
+	r.carry(&out, request)
 	return out
 }
 
+// carry adds to a delta what the VM keeps in force that the catalogue may not show.
+func (r *Registrar) carry(out *bluebelldoor.RecordDelta, request *bluebelldoor.RecordDelta) {
+	c := r.carried.Load()
+	out.RoutingVersion, out.RetainedDigest = c.routingVersion, c.digest
+	if request == nil {
+		return
+	}
+	if request.RoutingVersion < c.routingVersion {
+		out.Routing = c.routing
+	}
+	if request.RetainedDigest != c.digest {
+		out.Retained = c.retained
+	}
+}
+
 // ApplyDelta applies a peer's delta. Only a reply to a request sent at sentAt is
 // evidence: the age of an unsolicited message is unknown.
 func (r *Registrar) ApplyDelta(ctx context.Context, delta bluebelldoor.RecordDelta, sentAt time.Duration, isReply bool) {
-	if delta.Revision > r.Revision() {
-		r.do(ctx, func() {
-			if delta.Base > r.state.revision {
-				r.gap.Store(true)
-				return
-			}
-			r.gap.Store(false)
-			silence, _ := r.EvidenceAge()
-			r.publish(r.state.apply(bluebelldoor.CatalogueReply{
-				Revision: delta.Revision,
-				Full:     delta.Base == 0,
-				Records:  delta.Records,
-			}, r.clock.Now(), silence))
-		})
+	r.noteEra(delta.Era)
+	if isReply && delta.Revision > 0 {
+		r.peerAnswered.Store(true)
+	}
+	if delta.Position().After(r.Position()) {
+		r.do(ctx, func() { r.applyRecords(delta) })
+	}
+	if delta.Routing != nil || delta.Retained != nil {
+		r.do(ctx, func() { r.applyCarried(delta) })
 	}
 	if len(delta.Leaving) > 0 {
 		r.markLeaving(ctx, delta.Leaving)
 	}
-	if isReply && delta.EvidenceAgeMs >= 0 && delta.Revision == r.Revision() {
+	if isReply && delta.EvidenceAgeMs >= 0 && delta.Position() == r.Position() {
 		r.renewEvidence(sentAt - time.Duration(delta.EvidenceAgeMs)*time.Millisecond)
 	}
 }
 
+// applyRecords applies the records of a peer's delta, or notes that records before them
+// are missing.
+func (r *Registrar) applyRecords(delta bluebelldoor.RecordDelta) {
+	held, base := r.state.position, bluebelldoor.Position{Era: delta.BaseEra, Revision: delta.Base}
+	switch {
+	case !delta.Position().After(held):
+		return
+	case base.Revision == 0:
+	case delta.Era == held.Era && base.Era == held.Era && !base.After(held):
+	case delta.CrossesEras && base == held:
+	default:
+		r.gap.Store(true)
+		return
+	}
+	r.gap.Store(false)
+	silence, _ := r.EvidenceAge()
+	r.publish(r.state.apply(bluebelldoor.CatalogueReply{
+		Era:      delta.Era,
+		Revision: delta.Revision,
+		Full:     base.Revision == 0,
+		Records:  delta.Records,
+		Unseen:   bluebelldoor.Position{Era: delta.UnseenEra, Revision: delta.Unseen},
+	}, r.clock.Now(), silence))
+}
+
+// applyCarried applies what a peer keeps in force that the catalogue does not show.
+func (r *Registrar) applyCarried(delta bluebelldoor.RecordDelta) {
+	changed := false
+	if delta.Routing != nil {
+		if c := r.state.decode(*delta.Routing); c.Err == nil && c.Routing != nil {
+			changed = r.state.setRouting(c.Routing, *delta.Routing)
+		}
+	}
+	if delta.Retained != nil {
+		changed = r.state.applyRetained(delta.Retained, r.clock.Now()) || changed
+	}
+	r.publish(changed)
+}
+
 // MarkLeaving records that a target itself has announced that it is leaving, and passes
 // the notice on to peers. When it returns, the view shows the target as leaving; no
 // later record of the same incarnation reverts that.
@@ -364,7 +482,9 @@
 }
 
 func (r *Registrar) publish(changed bool) {
-	r.revision.Store(r.state.revision)
+	position := r.state.position
+	r.position.Store(&position)
+	r.carried.Store(r.state.carriedState(r.clock.Now()))
 	if !changed {
 		return
 	}
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -40,10 +40,12 @@
 	err      error
 	// historyLost makes watches fail until the next read.
 	historyLost bool
-	// restored makes watches from a revision above the catalogue's fail.
-	restored bool
-	calls    int
-	changed  chan struct{}
+	// era increases with each restore. Watches from another era fail.
+	era   uint64
+	calls int
+	// reads is the number of full reads.
+	reads   int
+	changed chan struct{}
 }
 
 func newCatalogue() *catalogue {
@@ -73,26 +75,29 @@
 		return bluebelldoor.CatalogueReply{}, c.err
 	}
 	c.historyLost = false
-	out := bluebelldoor.CatalogueReply{Revision: c.revision, Full: true}
+	c.reads++
+	out := bluebelldoor.CatalogueReply{Era: c.era, Revision: c.revision, Full: true}
 	for _, r := range c.records {
 		if !r.Removed {
+			r.Era = c.era
 			out.Records = append(out.Records, r)
 		}
 	}
 	return out, nil
 }
 
-func (c *catalogue) Watch(ctx context.Context, after uint64, wait time.Duration) (bluebelldoor.CatalogueReply, error) {
+func (c *catalogue) Watch(ctx context.Context, after bluebelldoor.Position, wait time.Duration) (bluebelldoor.CatalogueReply, error) {
 	timeout := time.After(wait)
 	c.mu.Lock()
 	c.calls++
 	c.mu.Unlock()
 	for {
 		c.mu.Lock()
-		changed, err, historyLost := c.changed, c.err, c.historyLost || c.restored && after > c.revision
-		out := bluebelldoor.CatalogueReply{Revision: c.revision}
+		changed, err, historyLost := c.changed, c.err, c.historyLost || after.Era != c.era || c.era > 0 && after.Revision > c.revision
+		out := bluebelldoor.CatalogueReply{Era: c.era, Revision: c.revision}
 		for _, r := range c.records {
-			if r.Revision > after {
+			if r.Revision > after.Revision {
+				r.Era = c.era
 				out.Records = append(out.Records, r)
 			}
 		}
@@ -146,8 +151,10 @@
 	*registrar.Registrar
 	clock *fakeClock
 	mu    sync.Mutex
-	// closed are the targets that the observer was called with.
+	// closed are the targets that the observer was called with, lapsed those of them whose
+	// records had only disappeared.
 	closed []string
+	lapsed map[string]bool
 }
 
 func (v *vm) closedTargets() []string {
@@ -158,7 +165,13 @@
 
 func start(t *testing.T, c bluebelldoor.Catalogue, reads bool, options ...registrar.Option) *vm {
 	t.Helper()
-	v := &vm{clock: &fakeClock{start: time.Now()}}
+	v, stop := startStoppable(c, reads, options...)
+	t.Cleanup(stop)
+	return v
+}
+
+func startStoppable(c bluebelldoor.Catalogue, reads bool, options ...registrar.Option) (*vm, func()) {
+	v := &vm{clock: &fakeClock{start: time.Now()}, lapsed: map[string]bool{}}
 	v.Registrar = registrar.New(c, v.clock, registrar.Role{
 		ReadsForPeers: func() bool { return reads },
 		Standby:       func() bool { return false },
@@ -167,10 +180,18 @@
 	v.Observe(func(t *registrar.Target) {
 		v.mu.Lock()
 		defer v.mu.Unlock()
-		v.closed = append(v.closed, fmt.Sprintf("%s/%d", t.ID, t.StartedAt))
+		incarnation := fmt.Sprintf("%s/%d", t.ID, t.StartedAt)
+		v.closed = append(v.closed, incarnation)
+		v.lapsed[incarnation] = t.Lapsed
 	})
-	t.Cleanup(v.Start())
-	return v
+	return v, v.Start()
+}
+
+// hasLapsed reports whether a closed target's record had only disappeared.
+func (v *vm) hasLapsed(incarnation string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.lapsed[incarnation]
 }
 
 func (v *vm) open(id string) bool {
@@ -414,7 +435,7 @@
 				store.put("t/x", "ready")
 				v := start(t, store, true)
 				time.Sleep(10 * time.Millisecond)
-				assert.Equal(t, v.Revision(), uint64(2))
+				assert.Equal(t, v.Position(), bluebelldoor.Position{Revision: 2})
 				store.fail(errors.New("cut off"))
 				time.Sleep(5 * time.Second)
 				v.ApplyDelta(t.Context(), c.delta, v.clock.Now()-50*time.Millisecond, c.isReply)
@@ -437,7 +458,7 @@
 			store.put(fmt.Sprintf("t/%d", i%7), []string{"ready", "draining", ""}[i%3])
 			synctest.Wait()
 			askedAt := follower.clock.Now()
-			follower.ApplyDelta(t.Context(), reader.Delta(t.Context(), follower.Revision(), true), askedAt, true)
+			follower.ApplyDelta(t.Context(), reader.Delta(t.Context(), follower.Position(), &bluebelldoor.RecordDelta{WantFull: true}), askedAt, true)
 			for n := range 7 {
 				id := strconv.Itoa(n)
 				assert.Equal(t, reader.open(id), follower.open(id), "step %d, target %s", i, id)
@@ -480,8 +501,8 @@
 		reader, follower := start(t, store, true), start(t, down, false)
 		time.Sleep(100 * time.Millisecond)
 		exchange := func() bluebelldoor.RecordDelta {
-			request := follower.Delta(t.Context(), 0, false)
-			reply := reader.Delta(t.Context(), request.Revision, request.WantFull)
+			request := follower.Delta(t.Context(), bluebelldoor.Position{}, nil)
+			reply := reader.Delta(t.Context(), request.Position(), &request)
 			follower.ApplyDelta(t.Context(), reply, follower.clock.Now(), true)
 			return reply
 		}
@@ -499,9 +520,11 @@
 func TestRemovalsBeforeFullRead(t *testing.T) {
 	for name, c := range map[string]struct {
 		startsLate bool // the VM that passes changes on starts after the removal
+		through    bool // a third VM stands between it and the one that lags
 	}{
-		"after its start":        {true},
-		"after the history lost": {false},
+		"after its start":            {true, false},
+		"after the history lost":     {false, false},
+		"after that, through a peer": {false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -512,10 +535,14 @@
 					reader = start(t, store, true)
 					synctest.Wait()
 				}
+				between := &linkedCatalogue{Catalogue: store}
+				middle := start(t, between, false)
+				synctest.Wait()
+				between.cut.Store(true)
 				store.fail(errors.New("down"))
 				time.Sleep(time.Second)
 				store.put("t/x", "ready")
-				link := &linkedCatalogue{catalogue: store}
+				link := &linkedCatalogue{Catalogue: store}
 				store.fail(nil)
 				follower := start(t, link, false)
 				time.Sleep(time.Millisecond)
@@ -532,9 +559,15 @@
 				}
 				time.Sleep(time.Second)
 				assert.Assert(t, !reader.open("x") && reader.open("z"))
+				from := reader
+				if c.through {
+					exchange(t, middle, reader)
+					assert.Assert(t, middle.open("z"))
+					from = middle
+				}
 				for range 3 {
-					request := follower.Delta(t.Context(), reader.Revision(), false)
-					reply := reader.Delta(t.Context(), request.Revision, request.WantFull)
+					request := follower.Delta(t.Context(), from.Position(), nil)
+					reply := from.Delta(t.Context(), request.Position(), &request)
 					follower.ApplyDelta(t.Context(), reply, follower.clock.Now(), true)
 					time.Sleep(time.Second)
 				}
@@ -547,7 +580,7 @@
 
 // linkedCatalogue is a catalogue behind a link that may be cut.
 type linkedCatalogue struct {
-	*catalogue
+	bluebelldoor.Catalogue
 	cut atomic.Bool
 }
 
@@ -555,12 +588,12 @@
 	if c.cut.Load() {
 		return bluebelldoor.CatalogueReply{}, errors.New("cut off")
 	}
-	return c.catalogue.Read(ctx)
+	return c.Catalogue.Read(ctx)
 }
 
-func (c *linkedCatalogue) Watch(ctx context.Context, after uint64, wait time.Duration) (bluebelldoor.CatalogueReply, error) {
+func (c *linkedCatalogue) Watch(ctx context.Context, after bluebelldoor.Position, wait time.Duration) (bluebelldoor.CatalogueReply, error) {
 	if c.cut.Load() {
 		return bluebelldoor.CatalogueReply{}, errors.New("cut off")
 	}
-	return c.catalogue.Watch(ctx, after, wait)
+	return c.Catalogue.Watch(ctx, after, wait)
 }
--- a/process/registrar/restore_test.go
+++ b/process/registrar/restore_test.go
@@ -1,6 +1,8 @@
 package registrar_test
 
 import (
+	"context"
+	"fmt"
 	"maps"
 	"testing"
 	"testing/synctest"
@@ -24,13 +26,12 @@
 	return backup{c.revision, maps.Clone(c.records)}
 }
 
-// restore returns the catalogue to an older copy. Watches get ErrHistoryLost if they ask
-// for a revision above that of the catalogue.
+// restore returns the catalogue to an older copy and begins a new era.
 func (c *catalogue) restore(b backup) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.revision, c.records = b.revision, maps.Clone(b.records)
-	c.restored = true
+	c.era++
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
@@ -115,6 +116,10 @@
 				synctest.Wait()
 				assert.Assert(t, v.open("drains") && v.open("leaves") && v.open("lost"))
 				restoreCatalogue(store, copied, c, map[string]string{"t/drains": "draining/1", "t/leaves": ""})
+				for v.Position().Era < store.era {
+					time.Sleep(10 * time.Millisecond)
+				}
+				assert.Assert(t, v.open("lost") && v.View().Target("lost").Lapsed, "a target missing from the copy may register again")
 				time.Sleep(3 * time.Second)
 				assert.Assert(t, !v.open("drains"), "draining in the catalogue")
 				assert.Assert(t, v.open("stays"))
@@ -125,3 +130,303 @@
 		})
 	}
 }
+
+// TestRestoreRestart checks that a VM that starts while the store is still behind learns
+// from a peer what must not go back: the routing, a target that had left, one that was
+// leaving, and a data centre out of service. Until then, nothing proves its view.
+func TestRestoreRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newCatalogue()
+		store.era = 1
+		store.put("config", "v7")
+		for _, key := range []string{"t/left", "t/leaves", "t/stays"} {
+			store.put(key, "ready/1")
+		}
+		peer := start(t, store, true)
+		synctest.Wait()
+		copied := store.backUp()
+		store.put("config", "v8")
+		store.put("t/left", "")
+		store.put("t/leaves", "draining/1")
+		store.put("out/dc", "out")
+		synctest.Wait()
+		store.restore(copied)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, peer.View().Routing().Version(), uint64(8))
+		assert.Assert(t, !peer.open("left") && !peer.open("leaves"))
+		assert.Assert(t, peer.View().OutOfService("dc"))
+
+		started := start(t, store, false)
+		time.Sleep(100 * time.Millisecond)
+		_, proven := started.EvidenceAge()
+		assert.Assert(t, !proven, "proven before any peer has answered")
+		exchange(t, started, peer)
+		time.Sleep(time.Second)
+		_, proven = started.EvidenceAge()
+		assert.Assert(t, proven)
+		assert.Equal(t, started.View().Routing().Version(), uint64(8))
+		assert.Assert(t, started.View().Target("left") == nil, "the copy still names it")
+		assert.Assert(t, started.View().Target("leaves").Leaving)
+		assert.Assert(t, started.View().OutOfService("dc"))
+
+		// What the platform still says after retainFor holds.
+		for range 12 {
+			time.Sleep(time.Second)
+			exchange(t, started, peer)
+		}
+		for name, v := range map[string]*vm{"peer": peer, "started": started} {
+			assert.Assert(t, v.open("left"), name)
+			assert.Assert(t, !v.open("leaves"), name)
+			assert.Assert(t, !v.View().OutOfService("dc"), name)
+			assert.Equal(t, v.View().Routing().Version(), uint64(8), name)
+		}
+	})
+}
+
+// exchange is one message from a VM to a peer and its reply.
+func exchange(t *testing.T, from, to *vm) {
+	t.Helper()
+	sentAt := from.clock.Now()
+	request := from.Delta(t.Context(), to.Position(), nil)
+	to.ApplyDelta(t.Context(), request, 0, false)
+	from.ApplyDelta(t.Context(), to.Delta(t.Context(), request.Position(), &request), sentAt, true)
+}
+
+// TestRestoreEvidence checks that nothing proves the view of a VM that holds an earlier era
+// than it has heard of, and that answers of an earlier era change nothing.
+func TestRestoreEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newCatalogue()
+		store.era = 1
+		store.put("t/x", "ready/1")
+		link := &linkedCatalogue{Catalogue: store}
+		cut, peer := start(t, link, false), start(t, store, true)
+		time.Sleep(time.Second)
+		link.cut.Store(true)
+		copied := store.backUp()
+		store.restore(copied)
+		store.restore(copied)
+		store.put("t/x", "draining/1")
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, peer.Position(), bluebelldoor.Position{Era: 3, Revision: 3})
+
+		// The peer's delta crosses two eras, so the VM can't use it.
+		late := bluebelldoor.RecordDelta{BaseEra: 1, Base: 2, Era: 1, Revision: 2, EvidenceAgeMs: 10}
+		delta := peer.Delta(t.Context(), bluebelldoor.Position{Era: 3, Revision: 3}, nil)
+		cut.ApplyDelta(t.Context(), delta, cut.clock.Now(), true)
+		assert.Equal(t, cut.Position(), bluebelldoor.Position{Era: 1, Revision: 2})
+		before, _ := cut.EvidenceAge()
+		cut.ApplyDelta(t.Context(), late, cut.clock.Now(), true)
+		age, _ := cut.EvidenceAge()
+		assert.Equal(t, age, before, "proven by a peer that holds an earlier era")
+
+		exchange(t, cut, peer)
+		exchange(t, cut, peer)
+		assert.Equal(t, cut.Position(), peer.Position())
+		assert.Assert(t, !cut.open("x"))
+		late.Records = []bluebelldoor.Record{{Key: "t/x", Era: 1, Revision: 9, Value: []byte("ready/1")}}
+		late.Revision = 9
+		cut.ApplyDelta(t.Context(), late, cut.clock.Now(), true)
+		assert.Equal(t, cut.Position(), peer.Position())
+		assert.Assert(t, !cut.open("x"))
+	})
+}
+
+// TestRestoreReads checks that after a restore few VMs read everything: the others follow
+// by the changes that a peer tells them. BLUEBELLDOOR_VMS and BLUEBELLDOOR_TARGETS set the
+// size.
+func TestRestoreReads(t *testing.T) {
+	vms, targets := envInt(t, "BLUEBELLDOOR_VMS", 40), envInt(t, "BLUEBELLDOOR_TARGETS", 140)
+	synctest.Test(t, func(t *testing.T) {
+		store := newCatalogue()
+		store.era = 1
+		for i := range targets {
+			store.put(fmt.Sprintf("t/%d", i), "ready/1")
+		}
+		var all []*vm
+		for i := range vms {
+			all = append(all, start(t, store, i == 0))
+		}
+		bytes := 0
+		round := func() {
+			time.Sleep(250 * time.Millisecond)
+			for i, v := range all[1:] {
+				to := all[0]
+				if i >= 16 {
+					to = all[1+i%16]
+				}
+				request := v.Delta(t.Context(), to.Position(), nil)
+				sentAt := v.clock.Now()
+				reply := to.Delta(t.Context(), request.Position(), &request)
+				for _, r := range reply.Records {
+					bytes += len(r.Key) + len(r.Value) + 24
+				}
+				v.ApplyDelta(t.Context(), reply, sentAt, true)
+			}
+		}
+		for range 8 {
+			round()
+		}
+		copied := store.backUp()
+		for i := range 20 {
+			store.put(fmt.Sprintf("t/%d", i), "draining/1")
+		}
+		round()
+		store.fail(errors.New("away"))
+		for range 4 {
+			round()
+		}
+		store.restore(copied)
+		store.put("t/30", "draining/1")
+		store.fail(nil)
+		store.mu.Lock()
+		store.reads = 0
+		store.mu.Unlock()
+		bytes = 0
+		for range 12 {
+			round()
+		}
+		for i, v := range all {
+			assert.Equal(t, v.Position(), bluebelldoor.Position{Era: 2, Revision: store.revision}, "VM %d", i)
+			assert.Assert(t, !v.open("30") && !v.open("3"), "VM %d", i)
+		}
+		store.mu.Lock()
+		reads := store.reads
+		store.mu.Unlock()
+		t.Logf("%d VMs, %d targets: %d full reads, %d bytes of records a VM between VMs", vms, targets, reads, bytes/vms)
+		assert.Assert(t, reads <= vms/4, "%d full reads", reads)
+	})
+}
+
+// TestRestorePeers checks which deltas of peers a VM applies that holds position 20 of
+// era 2.
+func TestRestorePeers(t *testing.T) {
+	draining := func(era, revision uint64) []bluebelldoor.Record {
+		return []bluebelldoor.Record{{Key: "t/x", Era: era, Revision: revision, Value: []byte("draining/1")}}
+	}
+	for name, c := range map[string]struct {
+		delta             bluebelldoor.RecordDelta
+		applied, evidence bool
+	}{
+		"same era":                    {bluebelldoor.RecordDelta{BaseEra: 2, Base: 19, Era: 2, Revision: 25, Records: draining(2, 25)}, true, true},
+		"same era, gap":               {bluebelldoor.RecordDelta{BaseEra: 2, Base: 21, Era: 2, Revision: 25, Records: draining(2, 25)}, false, false},
+		"base in an earlier era":      {bluebelldoor.RecordDelta{BaseEra: 1, Base: 5, Era: 2, Revision: 25, Records: draining(2, 25)}, false, false},
+		"earlier era":                 {bluebelldoor.RecordDelta{BaseEra: 1, Base: 20, Era: 1, Revision: 25, Records: draining(1, 25)}, false, false},
+		"earlier era, same revision":  {bluebelldoor.RecordDelta{BaseEra: 1, Base: 20, Era: 1, Revision: 20}, false, false},
+		"no change":                   {bluebelldoor.RecordDelta{BaseEra: 2, Base: 20, Era: 2, Revision: 20}, false, true},
+		"crosses at the position":     {bluebelldoor.RecordDelta{BaseEra: 2, Base: 20, Era: 3, Revision: 9, CrossesEras: true, Records: draining(3, 9)}, true, true},
+		"crosses below the position":  {bluebelldoor.RecordDelta{BaseEra: 2, Base: 19, Era: 3, Revision: 9, CrossesEras: true, Records: draining(3, 9)}, false, false},
+		"crosses from an earlier era": {bluebelldoor.RecordDelta{BaseEra: 1, Base: 20, Era: 3, Revision: 9, CrossesEras: true, Records: draining(3, 9)}, false, false},
+		"newer era, by revisions":     {bluebelldoor.RecordDelta{BaseEra: 2, Base: 20, Era: 3, Revision: 30, Records: draining(3, 30)}, false, false},
+		"newer era, all records":      {bluebelldoor.RecordDelta{Era: 3, Revision: 9, Records: draining(3, 9)}, true, true},
+		"a build without eras":        {bluebelldoor.RecordDelta{Base: 20, Revision: 25, Records: draining(0, 25)}, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newCatalogue()
+				store.era, store.revision = 2, 18
+				store.put("t/x", "ready/1")
+				store.put("t/y", "ready/1")
+				v := start(t, store, true)
+				time.Sleep(time.Second)
+				assert.Equal(t, v.Position(), bluebelldoor.Position{Era: 2, Revision: 20})
+				store.fail(errors.New("cut off"))
+				time.Sleep(5 * time.Second)
+				c.delta.EvidenceAgeMs = 100
+				v.ApplyDelta(t.Context(), c.delta, v.clock.Now()-50*time.Millisecond, true)
+				assert.Equal(t, !v.open("x"), c.applied)
+				age, _ := v.EvidenceAge()
+				assert.Equal(t, age == 150*time.Millisecond, c.evidence, "%s", age)
+			})
+		})
+	}
+}
+
+// TestRestoreDelta checks what a VM passes on after a restore: to a peer that held no more
+// of the lost history than the VM, what has changed; to one that held more, nothing; and
+// records that were written again as they had been, to a peer that is in the new era.
+func TestRestoreDelta(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newCatalogue()
+		store.era = 1
+		store.put("t/a", "ready/1")
+		copied := store.backUp()
+		store.put("t/b", "ready/1")
+		v := start(t, store, true)
+		time.Sleep(time.Second)
+		store.fail(errors.New("away"))
+		time.Sleep(time.Second)
+		store.restore(copied)
+		store.put("t/b", "ready/1")
+		store.put("t/a", "draining/1")
+		store.fail(nil)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, v.Position(), bluebelldoor.Position{Era: 2, Revision: 4})
+		keys := func(after bluebelldoor.Position) map[string]bool {
+			delta := v.Delta(t.Context(), after, nil)
+			out := map[string]bool{}
+			for _, r := range delta.Records {
+				out[r.Key] = true
+			}
+			if delta.Base == after.Revision && delta.BaseEra == after.Era {
+				out["usable"] = true
+			}
+			return out
+		}
+		assert.DeepEqual(t, keys(bluebelldoor.Position{Era: 1, Revision: 3}), map[string]bool{"t/a": true, "usable": true})
+		assert.DeepEqual(t, keys(bluebelldoor.Position{Era: 1, Revision: 4}), map[string]bool{})
+		// The full read crossed revisions 2 to 4 of era 2.
+		assert.DeepEqual(t, keys(bluebelldoor.Position{Era: 2, Revision: 2}), map[string]bool{})
+		assert.DeepEqual(t, keys(bluebelldoor.Position{Era: 2, Revision: 4}), map[string]bool{"usable": true})
+		store.put("t/c", "ready/1")
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, keys(bluebelldoor.Position{Era: 2, Revision: 4}), map[string]bool{"t/c": true, "usable": true})
+	})
+}
+
+// scriptedCatalogue replies to watches as a test says.
+type scriptedCatalogue struct {
+	*catalogue
+	replies chan bluebelldoor.CatalogueReply
+}
+
+func (c scriptedCatalogue) Watch(ctx context.Context, _ bluebelldoor.Position, _ time.Duration) (bluebelldoor.CatalogueReply, error) {
+	select {
+	case reply := <-c.replies:
+		return reply, nil
+	case <-ctx.Done():
+		return bluebelldoor.CatalogueReply{}, ctx.Err()
+	}
+}
+
+// TestRestoreReplies checks that replies from another era than the VM holds change nothing
+// but make it read everything if that era is newer.
+func TestRestoreReplies(t *testing.T) {
+	for name, c := range map[string]struct {
+		era      uint64
+		position bluebelldoor.Position
+		open     bool
+	}{
+		"earlier era": {1, bluebelldoor.Position{Era: 2, Revision: 2}, true},
+		"same era":    {2, bluebelldoor.Position{Era: 2, Revision: 9}, false},
+		"newer era":   {3, bluebelldoor.Position{Era: 3, Revision: 2}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := scriptedCatalogue{newCatalogue(), make(chan bluebelldoor.CatalogueReply)}
+				store.era = 2
+				store.put("t/x", "ready/1")
+				v := start(t, store, true)
+				synctest.Wait()
+				store.mu.Lock()
+				store.era = max(2, c.era)
+				store.mu.Unlock()
+				record := bluebelldoor.Record{Key: "t/x", Era: c.era, Revision: 9, Value: []byte("draining/1")}
+				store.replies <- bluebelldoor.CatalogueReply{Era: c.era, Revision: 9, Records: []bluebelldoor.Record{record}}
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, v.Position(), c.position)
+				assert.Equal(t, v.open("x"), c.open)
+			})
+		})
+	}
+}
--- a/process/runner/directory.go
+++ b/process/runner/directory.go
@@ -42,7 +42,8 @@
 func (r *Relay) updateMemberState(s *bluebelldoor.MemberState) {
 	s.Ready = r.serving()
 	s.Leaving = r.lifecycle.MustState() != Serving
-	s.Revision = r.registrar.Revision()
+	position := r.registrar.Position()
+	s.Era, s.Revision = position.Era, position.Revision
 	s.UsedCores = r.assessor.Update(r.relayer.Traffic(), r.adapters.Clock.Now())
 }
 
--- a/process/runner/relaystatus.go
+++ b/process/runner/relaystatus.go
@@ -11,7 +11,8 @@
 	Serves bool `json:"serves"`
 	// RoutingVersion is the version of the routing in force, 0 before the first.
 	RoutingVersion uint64 `json:"routingVersion"`
-	// Revision is the revision of the platform's records that the VM holds.
+	// Era and Revision are the position of the platform's records that the VM holds.
+	Era      uint64 `json:"era"`
 	Revision uint64 `json:"revision"`
 	// EvidenceAgeMs is the age of the evidence that the records were the
 	// platform's newest, -1 if there is none.
@@ -27,9 +28,10 @@
 
 // Status returns the VM's state.
 func (r *Relay) Status() RelayStatus {
+	position := r.registrar.Position()
 	s := RelayStatus{
 		VM: r.settings.Name, DataCentre: r.settings.DataCentre, Phase: r.lifecycle.MustState().(Phase),
-		Serves: r.gossiper.IsHub(), Revision: r.registrar.Revision(), EvidenceAgeMs: -1, Requests: r.acceptor.ActiveRequests(),
+		Serves: r.gossiper.IsHub(), Era: position.Era, Revision: position.Revision, EvidenceAgeMs: -1, Requests: r.acceptor.ActiveRequests(),
 		Waiting: r.relayer.QueueLength(), LimitedTargets: r.limiter.Count(),
 	}
 	if routing := r.registrar.View().Routing(); routing != nil {
@@ -51,7 +53,7 @@
 func (r *Relay) gauges() recorder.Gauges {
 	s := r.Status()
 	return recorder.Gauges{
-		RoutingVersion: float64(s.RoutingVersion), EvidenceAgeSeconds: float64(s.EvidenceAgeMs) / 1000,
+		RoutingVersion: float64(s.RoutingVersion), PlatformEra: float64(s.Era), EvidenceAgeSeconds: float64(s.EvidenceAgeMs) / 1000,
 		Members: float64(len(s.Members)), Hubs: float64(len(s.Hubs)), Requests: float64(s.Requests),
 		Waiting: float64(s.Waiting), LimitedTargets: float64(s.LimitedTargets),
 	}
--- a/relay.go
+++ b/relay.go
@@ -15,9 +15,28 @@
 	Now() time.Duration
 }
 
+// Position is a state of the catalogue. A catalogue that returns from an older copy of
+// itself begins a new era and gives out again the revisions above that of the copy.
+// Revisions are comparable within an era only; every position of a higher era is newer.
+type Position struct {
+	// Era is 0 if the catalogue names none.
+	Era      uint64
+	Revision uint64
+}
+
+// After reports whether p is newer than q.
+func (p Position) After(q Position) bool {
+	if p.Era != q.Era {
+		return p.Era > q.Era
+	}
+	return p.Revision > q.Revision
+}
+
 // Record is what the platform publishes under a key, not yet decoded.
 type Record struct {
 	Key string `cbor:"key"`
+	// Era is that of the catalogue when it last showed the record.
+	Era uint64 `cbor:"era,omitempty"`
 	// Revision is that of the record's last change, including its removal.
 	Revision uint64 `cbor:"revision"`
 	Value    []byte `cbor:"value"`
@@ -25,6 +44,9 @@
 	Removed bool `cbor:"gone"`
 }
 
+// Position returns the position of the record's last change.
+func (r Record) Position() Position { return Position{r.Era, r.Revision} }
+
 // Change is a decoded record. One of Routing, Instance, DataCentre and Err is set,
 // none if the record is of another kind, or was a routing or target and is removed.
 type Change struct {
@@ -47,16 +69,22 @@
 	// revision.
 	Full    bool
 	Records []Record
+	// Unseen is the newest position up to which records may have come and gone that are
+	// not among Records, zero if there are none.
+	Unseen Position
 }
 
+// Position returns the position of the catalogue when it replied.
+func (r CatalogueReply) Position() Position { return Position{r.Era, r.Revision} }
+
 // Catalogue reads what the platform publishes: routing, targets, and data
 // centres that are out of service.
 type Catalogue interface {
 	// Read returns every record.
 	Read(ctx context.Context) (CatalogueReply, error)
-	// Watch waits, for at most wait, for changes after a revision. The error is
-	// ErrHistoryLost if the catalogue no longer holds them.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (CatalogueReply, error)
+	// Watch waits, for at most wait, for changes after a position. The error is
+	// ErrHistoryLost if the catalogue no longer holds them, or is in a newer era.
+	Watch(ctx context.Context, after Position, wait time.Duration) (CatalogueReply, error)
 	// Decode decodes a record.
 	Decode(r Record) Change
 }
--- a/request/relayer/move_test.go
+++ b/request/relayer/move_test.go
@@ -87,9 +87,9 @@
 	return out, nil
 }
 
-func (c fakeCatalogue) Watch(ctx context.Context, after uint64, _ time.Duration) (bluebelldoor.CatalogueReply, error) {
+func (c fakeCatalogue) Watch(ctx context.Context, after bluebelldoor.Position, _ time.Duration) (bluebelldoor.CatalogueReply, error) {
 	<-ctx.Done()
-	return bluebelldoor.CatalogueReply{Revision: after}, ctx.Err()
+	return bluebelldoor.CatalogueReply{Era: after.Era, Revision: after.Revision}, ctx.Err()
 }
 
 func (c fakeCatalogue) Decode(r bluebelldoor.Record) bluebelldoor.Change {
