--- a/relay.go
+++ b/relay.go
@@ -117,6 +117,8 @@
 	ExpectedTokens int
 	// ResumeAfter is the ID of the last event that the caller received, empty for none.
 	ResumeAfter string
+	// SharedParts are the IDs of the parts of the prompt that other requests may have too.
+	SharedParts []string
 
 	HTTP *http.Request
 	Body []byte
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -227,10 +228,14 @@
 	if s.firstEvent > 0 {
 		first = s.firstEvent - s.job.arrived
 	}
-	return []any{
+	fields := []any{
 		"target", s.target.ID, "events", s.forwarded, "lastEvent", s.events.lastID,
 		"firstMs", first.Milliseconds(), "longestPauseMs", s.longestPause.Milliseconds(), "pauseBefore", s.pauseBefore,
 	}
+	if s.forwarded == 0 {
+		fields = append(fields, "parts", strings.Join(s.job.request.SharedParts, ","))
+	}
+	return fields
 }
 
 // forwardChunk forwards the events that a part of the response completes.
