--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -30,6 +30,7 @@
 	WrongAttemptID Behaviour = "wrong" // execute and respond with another request's Attempt-Id
 	Delay          Behaviour = "slow"  // execute and respond after a delay
 	Pause          Behaviour = "pause" // refuse like Refuse, with a Retry-After
+	Crash          Behaviour = "crash" // begin a stream, then end every request and stay away for a while
 )
 
 // Execution is one request that a target executed.
@@ -72,6 +73,13 @@
 	return out
 }
 
+// AllExecutions returns the executions of all requests in order.
+func (c *Cluster) AllExecutions() []Execution {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.executions)
+}
+
 // Target is a stand-in for a model runner or an application runner. It is safe for
 // concurrent use.
 type Target struct {
@@ -83,8 +91,11 @@
 	address   string // as registered
 	startedMs int64
 
-	mu              sync.Mutex
-	behaviour       func(r *http.Request) Behaviour
+	mu        sync.Mutex
+	behaviour func(r *http.Request) Behaviour
+	// crashes are when the target crashed; it is away until downUntil.
+	crashes         []time.Time
+	downUntil       time.Time
 	copyStatus      int                    // error status of all copies, 0 for none
 	finalCopyStatus int                    // error status of final copies, 0 for none
 	active          map[string]*generation // by ID
@@ -305,7 +316,11 @@
 	}
 	t.mu.Lock()
 	t.arrivals = append(t.arrivals, time.Now())
+	down := time.Now().Before(t.downUntil)
 	t.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
 	behaviour, retryAfter := t.nextBehaviour(r)
 	if behaviour == Refuse || behaviour == Pause {
 		refuse(w, retryAfter)
@@ -397,6 +412,11 @@
 	w.WriteHeader(http.StatusOK)
 	flusher := w.(http.Flusher)
 	flusher.Flush()
+	if behaviour == Crash {
+		time.Sleep(eventInterval)
+		t.crash()
+		panic(http.ErrAbortHandler)
+	}
 	for {
 		select {
 		case <-g.stop:
@@ -429,6 +449,33 @@
 	}
 }
 
+// downFor is how long a target stays away after a crash.
+const downFor = 300 * time.Millisecond
+
+// crash ends all streams of the target.
+func (t *Target) crash() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if now.Before(t.downUntil) {
+		return
+	}
+	t.crashes, t.downUntil = append(t.crashes, now), now.Add(downFor)
+	for _, g := range t.active {
+		if !g.stopped {
+			g.stopped = true
+			close(g.stop)
+		}
+	}
+}
+
+// Crashes returns when the target crashed.
+func (t *Target) Crashes() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.crashes)
+}
+
 // handleCopy handles a request to copy a generation's memory to another target. A
 // final copy stops the generation.
 func (t *Target) handleCopy(w http.ResponseWriter, r *http.Request) {
