--- a/fleet.go
+++ b/fleet.go
@@ -129,6 +129,27 @@
 	// none. Limits are the limits that the receiver may lack.
 	LimitDigest uint64        `cbor:"limitDigest,omitempty"`
 	Limits      []TargetLimit `cbor:"limits,omitempty"`
+	// SuspectDigest identifies the parts of prompts that the sender suspects to crash
+	// engines, 0 if there are none. Suspects are the parts that the receiver may lack.
+	SuspectDigest uint64        `cbor:"suspectDigest,omitempty"`
+	Suspects      []SuspectPart `cbor:"suspects,omitempty"`
+}
+
+// SuspectPart is a part of prompts that may crash engines, as a VM knows it.
+type SuspectPart struct {
+	Service string      `cbor:"service"`
+	Part    string      `cbor:"part"`
+	Crashes []PartCrash `cbor:"crashes"`
+	// SoundAgeMs is the time since an answer to a request with the part last had its first
+	// event, in milliseconds, negative if it has had none.
+	SoundAgeMs int64 `cbor:"soundAgeMs"`
+}
+
+// PartCrash is the crash of an engine as it began to answer a request with a part.
+type PartCrash struct {
+	Target  string `cbor:"target"`
+	Account string `cbor:"account"`
+	AgeMs   int64  `cbor:"ageMs"`
 }
 
 // TargetLimit is the limit of requests that a target has named, as a VM knows it.
--- a/process/gossiper/table.go
+++ b/process/gossiper/table.go
@@ -45,6 +45,8 @@
 	memberCount int
 	// limitDigest identifies the limited targets that it has reported to know.
 	limitDigest uint64
+	// suspectDigest identifies the suspected parts of prompts that it has reported to know.
+	suspectDigest uint64
 }
 
 func (m *member) alive(now time.Duration) bool { return now-m.lastSeen <= m.timeout() }
@@ -152,6 +154,21 @@
 	return 0
 }
 
+// SetSuspectDigest records which suspected parts a member knows.
+func (t *Table) SetSuspectDigest(name string, digest uint64) {
+	if m := t.members[name]; m != nil {
+		m.suspectDigest = digest
+	}
+}
+
+// SuspectDigest returns the digest of the suspected parts that a member knows.
+func (t *Table) SuspectDigest(name string) uint64 {
+	if m := t.members[name]; m != nil {
+		return m.suspectDigest
+	}
+	return 0
+}
+
 // MemberCount returns how many members a member has reported to know.
 func (t *Table) MemberCount(name string) int {
 	if m := t.members[name]; m != nil {
@@ -177,7 +194,7 @@
 		t.members[s.Name] = known
 	case s.Incarnation > known.state.Incarnation:
 		known.loadsReceived, known.loadsAcked, known.memberCount = 0, 0, 0
-		known.limitDigest = 0
+		known.limitDigest, known.suspectDigest = 0, 0
 	case s.Incarnation < known.state.Incarnation || s.Heartbeat <= known.state.Heartbeat:
 		return false
 	case serves(s) != serves(known.state):
--- /dev/null
+++ b/process/quarantiner/quarantiner_test.go
@@ -0,0 +1,195 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"bluebelldoor"
+	"bluebelldoor/process/quarantiner"
+)
+
+// testClock is set by the test.
+type testClock struct{ now time.Duration }
+
+func (c *testClock) Now() time.Duration { return c.now }
+
+func newVM(clock *testClock) *quarantiner.Quarantiner {
+	return quarantiner.New(clock, func() {}, hclog.NewNullLogger())
+}
+
+func target(i int) bluebelldoor.TargetIncarnation {
+	return bluebelldoor.TargetIncarnation{ID: fmt.Sprintf("engine-%d", i), StartedAt: 1}
+}
+
+// event is something that a VM observes, some time after the event before.
+type event struct {
+	after   time.Duration
+	account string // empty for the first event of an answer
+	engine  int
+	parts   string
+}
+
+// TestCheck checks which parts are kept away from engines, and from which accounts.
+func TestCheck(t *testing.T) {
+	const s = time.Second
+	three := []event{{s, "a", 1, "p q"}, {s, "a", 2, "p r"}, {s, "a", 3, "p"}}
+	for name, c := range map[string]struct {
+		events  []event
+		wait    time.Duration
+		account string
+		parts   string
+		want    string // the part that is refused
+	}{
+		"three crashes":                        {three, 0, "a", "x p", "p"},
+		"two crashes":                          {three[:2], 0, "a", "p", ""},
+		"a part in one of them":                {three, 0, "a", "q", ""},
+		"another part":                         {three, 0, "a", "x y", ""},
+		"no shared part":                       {three, 0, "a", "", ""},
+		"another account":                      {three, 0, "b", "p", ""},
+		"crashes of two accounts":              {[]event{{s, "a", 1, "p"}, {s, "b", 2, "p"}, {s, "a", 3, "p"}}, 0, "c", "p", "p"},
+		"one crash with three streams":         {[]event{{s, "a", 1, "p"}, {0, "a", 1, "p"}, {0, "a", 1, "p"}}, 0, "a", "p", ""},
+		"one engine crashes three times":       {[]event{{s, "a", 1, "p"}, {s, "a", 1, "p"}, {s, "a", 1, "p"}}, 0, "a", "p", "p"},
+		"sound after the first crash":          {[]event{three[0], {s, "", 9, "p"}, three[1], three[2]}, 0, "a", "p", ""},
+		"sound after all":                      {append(append([]event{}, three...), event{s, "", 9, "p"}), 0, "a", "p", ""},
+		"sound shortly before":                 {append([]event{{0, "", 9, "p"}}, three...), 0, "a", "p", ""},
+		"sound long before":                    {append([]event{{0, "", 9, "p"}, {time.Minute, "", 9, "x"}}, three...), 0, "a", "p", "p"},
+		"sound with another part":              {append(append([]event{}, three...), event{s, "", 9, "q r"}), 0, "a", "p", "p"},
+		"sound, then three more":               {append(append(append([]event{}, three...), event{s, "", 9, "p"}, event{time.Minute, "", 9, "x"}), three...), 0, "a", "p", "p"},
+		"nine minutes later":                   {three, 9 * time.Minute, "a", "p", "p"},
+		"eleven minutes later":                 {three, 11 * time.Minute, "a", "p", ""},
+		"eleven minutes later, one more crash": {append(append([]event{}, three...), event{11 * time.Minute, "a", 4, "p"}), 0, "a", "p", "p"},
+		"two hours later, one more crash":      {append(append([]event{}, three...), event{2 * time.Hour, "a", 4, "p"}), 0, "a", "p", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := &testClock{now: time.Minute}
+			q := newVM(clock)
+			for _, e := range c.events {
+				clock.now += e.after
+				if e.account == "" {
+					q.RecordSound("s", strings.Fields(e.parts))
+				} else {
+					q.RecordCrash("s", e.account, strings.Fields(e.parts), target(e.engine))
+				}
+			}
+			clock.now += c.wait
+			verdict, quarantined := q.Check("s", c.account, strings.Fields(c.parts))
+			assert.Equal(t, verdict.Part, c.want)
+			assert.Equal(t, quarantined, c.want != "")
+			_, quarantined = q.Check("another service", c.account, strings.Fields(c.parts))
+			assert.Assert(t, !quarantined)
+		})
+	}
+}
+
+// tell sends what a VM suspects to another, as the gossip does.
+func tell(from, to *quarantiner.Quarantiner) int {
+	digest, _ := to.Suspects(0)
+	_, parts := from.Suspects(digest)
+	to.Merge("peer", parts)
+	return len(parts)
+}
+
+// TestGossip checks that VMs that each saw one crash know of all of them, that a VM that has
+// seen a part sound clears it on all, that a VM that starts learns what is quarantined, and
+// that VMs that know the same send nothing.
+func TestGossip(t *testing.T) {
+	clock := &testClock{now: time.Minute}
+	var vms []*quarantiner.Quarantiner
+	for i := range 5 {
+		vms = append(vms, newVM(clock))
+		if i < 3 {
+			clock.now += time.Second
+			vms[i].RecordCrash("s", "a", []string{"shared", "deadly"}, target(i))
+		}
+	}
+	round := func() {
+		for _, from := range vms {
+			for _, to := range vms {
+				clock.now += time.Millisecond
+				tell(from, to)
+			}
+		}
+	}
+	round()
+	for i, v := range vms {
+		_, quarantined := v.Check("s", "a", []string{"deadly"})
+		assert.Assert(t, quarantined, "VM %d", i)
+	}
+	vms[4].RecordSound("s", []string{"shared"})
+	round()
+	vms[0] = newVM(clock)
+	round()
+	for i, v := range vms {
+		_, quarantined := v.Check("s", "a", []string{"deadly"})
+		assert.Assert(t, quarantined, "VM %d", i)
+		_, quarantined = v.Check("s", "a", []string{"shared"})
+		assert.Assert(t, !quarantined, "VM %d", i)
+	}
+	assert.Equal(t, tell(vms[0], vms[1])+tell(vms[1], vms[2]), 0, "sent although both know the same")
+}
+
+// TestBounds checks that what is kept and sent is bounded, whatever callers and peers say,
+// and that a quarantined part stays.
+func TestBounds(t *testing.T) {
+	clock := &testClock{now: time.Minute}
+	q := newVM(clock)
+	for i := range 3 {
+		clock.now += time.Second
+		q.RecordCrash("s", "a", []string{"deadly"}, target(i))
+	}
+	for i := range 5000 {
+		clock.now += time.Millisecond
+		q.RecordCrash("s", "a", []string{fmt.Sprintf("invented-%d", i)}, target(i))
+		q.RecordSound("s", []string{fmt.Sprintf("sound-%d", i)})
+	}
+	_, quarantined := q.Check("s", "a", []string{"deadly"})
+	assert.Assert(t, quarantined)
+	_, parts := q.Suspects(0)
+	assert.Equal(t, len(parts), 24)
+	long := strings.Repeat("x", 1000)
+	peer := newVM(clock)
+	peer.Merge("peer", []bluebelldoor.SuspectPart{
+		{Service: long, Part: "p", Crashes: []bluebelldoor.PartCrash{{Target: "t", Account: "a"}}},
+		{Service: "s", Part: long, Crashes: []bluebelldoor.PartCrash{{Target: "t", Account: "a"}}},
+		{Service: "s", Part: "p", Crashes: []bluebelldoor.PartCrash{{Target: long}, {Account: long}, {AgeMs: -1}, {AgeMs: 1 << 62}}},
+		{Service: "s", Part: "p", SoundAgeMs: 1 << 62},
+	})
+	_, parts = peer.Suspects(0)
+	assert.Equal(t, len(parts), 0)
+}
+
+// soundCrashOdds is how many sound requests there are for each one whose engine crashes
+// between the begin of its answer and the first event.
+const soundCrashOdds = 100
+
+// TestSoundParts checks that parts that sound requests carry are not refused while engines
+// crash for another reason, though requests break off before their first event: 50 random
+// histories of VMs that share what they see.
+func TestSoundParts(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		clock := &testClock{now: time.Minute}
+		vms := []*quarantiner.Quarantiner{newVM(clock), newVM(clock), newVM(clock)}
+		for n := range 3000 {
+			clock.now += 20 * time.Millisecond
+			v := vms[random.IntN(len(vms))]
+			parts := []string{"first", fmt.Sprintf("session-%d", random.IntN(200))}
+			_, refused := v.Check("s", "a", parts)
+			assert.Assert(t, !refused, "seed %d, step %d", seed, n)
+			if random.IntN(soundCrashOdds) == 0 {
+				v.RecordCrash("s", "a", parts, target(random.IntN(30)))
+			} else {
+				v.RecordSound("s", parts)
+			}
+			if n%10 == 0 {
+				tell(vms[random.IntN(3)], vms[random.IntN(3)])
+			}
+		}
+	}
+}
--- a/process/recorder/relaymetrics.go
+++ b/process/recorder/relaymetrics.go
@@ -88,6 +88,8 @@
 	Waiting float64
 	// LimitedTargets counts targets that have named a limit.
 	LimitedTargets float64
+	// QuarantinedParts counts parts of prompts that are kept away from engines.
+	QuarantinedParts float64
 }
 
 // RegisterGauges registers the gauges and the counter of dropped log lines; read and
@@ -105,6 +107,7 @@
 		"requests":             {"Requests under way on this VM.", func(g Gauges) float64 { return g.Requests }},
 		"waiting":              {"Generations that wait for an engine with room.", func(g Gauges) float64 { return g.Waiting }},
 		"limited_targets":      {"Targets that have named a limit of requests per second.", func(g Gauges) float64 { return g.LimitedTargets }},
+		"quarantined_parts":    {"Parts of prompts that are kept away from engines.", func(g Gauges) float64 { return g.QuarantinedParts }},
 	} {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: g.help}, func() float64 { return g.value(read()) }))
 	}
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -18,6 +18,7 @@
 	"bluebelldoor/process/limiter"
 	"bluebelldoor/process/pauser"
 	"bluebelldoor/process/prober"
+	"bluebelldoor/process/quarantiner"
 	"bluebelldoor/process/recorder"
 	"bluebelldoor/process/registrar"
 	"bluebelldoor/process/turner"
@@ -62,6 +63,7 @@
 	gossiper    *gossiper.Gossiper
 	turner      *turner.Turner
 	limiter     *limiter.Limiter
+	parts       *quarantiner.Quarantiner
 	relayer     *relayer.Relayer
 	retryBudget *budgeter.Budgeter
 	acceptor    *acceptor.Acceptor
@@ -95,7 +97,10 @@
 		ApplyDelta:     r.registrar.ApplyDelta,
 		Limits:         func(digest uint64) (uint64, []bluebelldoor.TargetLimit) { return r.limiter.Limits(digest) },
 		ApplyLimits:    func(peer string, limits []bluebelldoor.TargetLimit) { r.limiter.Merge(peer, limits) },
+		Suspects:       func(digest uint64) (uint64, []bluebelldoor.SuspectPart) { return r.parts.Suspects(digest) },
+		ApplySuspects:  func(peer string, parts []bluebelldoor.SuspectPart) { r.parts.Merge(peer, parts) },
 	}, log.Named("gossiper"))
+	r.parts = quarantiner.New(adapters.Clock, r.gossiper.Trigger, log.Named("quarantiner"))
 	r.turner = turner.New(settings.Name, peers, r.turnGrantors, log.Named("turner"))
 	onResponseHead := func(t *bluebelldoor.Instance, head bluebelldoor.ResponseHead) { r.relayer.HandleResponseHead(t, head) }
 	targets, closeTargets := exchanger.New(adapters.Codec, exchanger.WithHeadObserver(onResponseHead))
@@ -130,6 +135,7 @@
 		Pauses:  pauser.New(adapters.Clock, log.Named("pauser")),
 		Limits:  r.limiter,
 		Budget:  r.retryBudget,
+		Parts:   r.parts,
 		Metrics: r.metrics,
 	}, adapters.Clock, log.Named("relayer"))
 	r.registrar.Observe(r.relayer.HandleLeaving)
--- a/process/runner/relaystatus.go
+++ b/process/runner/relaystatus.go
@@ -24,6 +24,8 @@
 	Waiting int `json:"waiting"`
 	// LimitedTargets is the number of targets that have named a limit.
 	LimitedTargets int `json:"limitedTargets"`
+	// QuarantinedParts is the number of parts of prompts that are kept away from engines.
+	QuarantinedParts int `json:"quarantinedParts"`
 }
 
 // Status returns the VM's state.
@@ -32,7 +34,7 @@
 	s := RelayStatus{
 		VM: r.settings.Name, DataCentre: r.settings.DataCentre, Phase: r.lifecycle.MustState().(Phase),
 		Serves: r.gossiper.IsHub(), Era: position.Era, Revision: position.Revision, EvidenceAgeMs: -1, Requests: r.acceptor.ActiveRequests(),
-		Waiting: r.relayer.QueueLength(), LimitedTargets: r.limiter.Count(),
+		Waiting: r.relayer.QueueLength(), LimitedTargets: r.limiter.Count(), QuarantinedParts: r.parts.Count(),
 	}
 	if routing := r.registrar.View().Routing(); routing != nil {
 		s.RoutingVersion = routing.Version()
@@ -55,6 +57,6 @@
 	return recorder.Gauges{
 		RoutingVersion: float64(s.RoutingVersion), PlatformEra: float64(s.Era), EvidenceAgeSeconds: float64(s.EvidenceAgeMs) / 1000,
 		Members: float64(len(s.Members)), Hubs: float64(len(s.Hubs)), Requests: float64(s.Requests),
-		Waiting: float64(s.Waiting), LimitedTargets: float64(s.LimitedTargets),
+		Waiting: float64(s.Waiting), LimitedTargets: float64(s.LimitedTargets), QuarantinedParts: float64(s.QuarantinedParts),
 	}
 }
--- a/request/relayer/admit.go
+++ b/request/relayer/admit.go
@@ -47,7 +47,7 @@
 	if j.service == nil {
 		j.service = &bluebelldoor.ServiceKind{Name: j.serviceName}
 	}
-	return nil
+	return j.checkParts()
 }
 
 // refusalUnknown returns the refusal for a route or key that does not exist. Where
@@ -101,6 +101,9 @@
 	if !j.Limits.Allows(j.permitted, t.Instance) {
 		return errNoPermit
 	}
+	if j.checkParts() != nil {
+		return errQuarantined
+	}
 	if j.call.Begun() {
 		return nil
 	}
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -46,6 +46,9 @@
 	if j.mustQueue() {
 		return j.waitForTarget()
 	}
+	if refusal := j.checkParts(); refusal != nil {
+		return nil, nil, refusal
+	}
 	now := j.clock.Now()
 	targets, candidates := j.candidates(now)
 	if len(targets) == 0 {
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"bluebelldoor/process/budgeter"
 	"bluebelldoor/process/limiter"
 	"bluebelldoor/process/pauser"
+	"bluebelldoor/process/quarantiner"
 	"bluebelldoor/process/recorder"
 	"bluebelldoor/process/registrar"
 	"bluebelldoor/process/turner"
@@ -67,6 +68,7 @@
 	Pauses  *pauser.Pauser
 	Limits  *limiter.Limiter
 	Budget  *budgeter.Budgeter
+	Parts   *quarantiner.Quarantiner
 	Metrics *recorder.RelayMetrics
 }
 
@@ -94,6 +96,9 @@
 
 // New returns a relayer.
 func New(settings Settings, sources Sources, dependencies Dependencies, clock bluebelldoor.Clock, log hclog.Logger) *Relayer {
+	if dependencies.Parts == nil {
+		dependencies.Parts = quarantiner.New(clock, func() {}, log)
+	}
 	r := &Relayer{
 		Dependencies:  dependencies,
 		sources:       sources,
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -191,6 +191,9 @@
 			return s.job.call.Finish()
 		}
 		if err != nil {
+			if s.forwarded == 0 {
+				s.job.recordCrash(s.target)
+			}
 			return err
 		}
 	}
@@ -258,6 +261,7 @@
 		s.job.updateReservation(s, reservation)
 	}
 	if first {
+		s.job.recordSound()
 		s.job.recordPromptRead(reservation)
 		s.job.Metrics.ObserveFirstEvent(s.job.priority, s.job.clock.Now()-s.job.arrived)
 	}
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -34,6 +34,7 @@
 var (
 	errNotPermitted = errors.New("target accepts no new requests, or the request is no longer authorized")
 	errPaused       = errors.New("target has asked this VM to pause")
+	errQuarantined  = errors.New("a part of the prompt is kept away from engines")
 	errNoPermit     = errors.New("target has a limit, and this VM has no valid permit")
 	errTooLarge     = errors.New("response too large to buffer")
 	errTruncated    = errors.New("response truncated")
@@ -108,6 +109,10 @@
 // handleUnsent handles an attempt in which no byte was sent.
 func (j *job) handleUnsent(t *registrar.Target, err error) bool {
 	j.unsent++
+	if refusal := j.checkParts(); refusal != nil {
+		j.refuse(refusal)
+		return true
+	}
 	if j.unsent >= maxUnsent {
 		j.refuse(bluebelldoor.NewRefusal(bluebelldoor.NoTarget, "target "+t.ID+": "+err.Error()).WithRetryAfter(defaultRetryAfter))
 		return true
@@ -171,6 +176,9 @@
 	body, err := readBuffered(response)
 	switch {
 	case err == nil:
+		if response.HTTPResponse().StatusCode < http.StatusBadRequest {
+			j.recordSound()
+		}
 		j.respond(t, response.HTTPResponse(), body)
 		return true
 	case errors.Is(err, errTooLarge):
@@ -180,6 +188,9 @@
 		return false
 	}
 	j.recordOutcome(t, true)
+	if len(body) == 0 {
+		j.recordCrash(t)
+	}
 	if j.mayRetry() {
 		j.prepareRetry(t, err.Error())
 		return false
@@ -191,7 +202,7 @@
 func readBuffered(response *exchanger.Response) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
 	if err != nil {
-		return nil, errors.Wrap(errTruncated, err.Error())
+		return body, errors.Wrap(errTruncated, err.Error())
 	}
 	if len(body) == maxBufferedBytes {
 		return body, errTooLarge
--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -219,6 +219,10 @@
 // returns what the targets lack if the generation has to wait on.
 func (w *waiter) place(now time.Duration) placer.Room {
 	j := w.job
+	if refusal := j.checkParts(); refusal != nil {
+		w.refuse(refusal)
+		return placer.HasRoom
+	}
 	targets, candidates := j.candidates(now)
 	if len(targets) == 0 {
 		if wait, _ := j.shortestWait(); wait > 0 && now+wait <= j.latestStart() {
