A stream without framing that ends inside an event, or before one, has been broken off

Cause: the end of the connection was taken as the end of the answer whatever had come; with framing that is right, without it only the events tell. Class: success concluded from the absence of an error. Evidence: TestRelayStreams failed in its four new cases of cut streams, TestRelayStreamThenError in six of ten; both pass. That an engine's error text enters a stream that had begun was not reproduced: the cases with an error as the next answer failed only by looking complete.

--- a/process/runner/moves_test.go
+++ b/process/runner/moves_test.go
@@ -73,6 +73,14 @@
 		"resumable, lost":      {resumePath, lender.Drop, true, 2},
 		"resumable, failed":    {resumePath, lender.Fail, true, 2},
 		"resumable, forbidden": {resumePath, lender.Refuse, true, 1},
+		// A stream with neither length nor chunks ends with its connection. One that ends
+		// inside an event, or before its first, has been broken off.
+		"unframed":                   {streamPath, lender.Unframed, true, 1},
+		"unframed, cut":              {streamPath, lender.UnframedCut, false, 1},
+		"unframed, empty":            {streamPath, lender.UnframedEmpty, false, 1},
+		"resumable, unframed":        {resumePath, lender.Unframed, true, 1},
+		"resumable, unframed, cut":   {resumePath, lender.UnframedCut, true, 2},
+		"resumable, unframed, empty": {resumePath, lender.UnframedEmpty, true, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			id := "s-" + strings.ReplaceAll(name, " ", "-")
@@ -103,6 +111,41 @@
 	}
 }
 
+// TestRelayStreamThenError guards against ORDER and MIXED: a stream broke off, the engine
+// that was to continue it answered with an error, and the caller found the error in its
+// stream, or a stream that looked complete.
+func TestRelayStreamThenError(t *testing.T) {
+	f := startRelays(t, 1)
+	for i := range 2 {
+		t.Cleanup(f.targets.Add(fmt.Sprintf("engine-%d", i), "engine", "dc-0").Stop)
+	}
+	t.Cleanup(f.targets.Add("app-1", "app", "dc-0").Stop)
+	f.awaitTargets(t)
+	for _, first := range []lender.Behaviour{lender.Truncate, lender.UnframedCut} {
+		for _, next := range []lender.Behaviour{lender.Fail, lender.Refuse, lender.Drop, lender.WrongAttemptID, lender.UnframedEmpty} {
+			t.Run(fmt.Sprintf("%s, %s", first, next), func(t *testing.T) {
+				id := fmt.Sprintf("e-%s-%s", first, next)
+				var asked atomic.Int64
+				f.targets.SetBehaviour(func(r *http.Request) lender.Behaviour {
+					switch {
+					case r.Header.Get("Attempt-Id") != id:
+						return lender.Serve
+					case asked.Add(1) == 1:
+						return first
+					}
+					return next
+				})
+				got := f.vms[0].generate(t, resumePath, id, 10)
+				assert.Equal(t, got.status, 200)
+				assert.Assert(t, !got.complete, "looks complete: %s", got.body)
+				for _, event := range strings.SplitAfter(got.body, "\n\n") {
+					assert.Assert(t, event == "" || strings.HasPrefix(event, "id: ") && strings.HasSuffix(event, "\n\n"), "not an event: %q", event)
+				}
+			})
+		}
+	}
+}
+
 // TestRelayMoves moves streams off an engine that is leaving, with each kind of
 // notice. The caller must see one run without a gap. If a copy fails, the stream
 // must end visibly early, and not run again.
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -175,6 +175,7 @@
 // if the response was complete.
 func (s *stream) forwardResponse(response *exchanger.Response, reservation *placer.Reservation) error {
 	buffer := make([]byte, streamBufferBytes)
+	eventsBefore := s.forwarded
 	for {
 		n, err := response.Read(buffer)
 		if n > 0 {
@@ -182,6 +183,10 @@
 				return writeErr
 			}
 		}
+		if errors.Is(err, io.EOF) && response.CloseDelimited() && (len(s.events.partial) > 0 || s.forwarded == eventsBefore) {
+			// Only the events themselves show that a response without framing was cut.
+			err = errTruncated
+		}
 		if errors.Is(err, io.EOF) {
 			if rest := s.events.partial; len(rest) > 0 {
 				if writeErr := s.job.call.Write(rest); writeErr != nil {
--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -21,16 +21,19 @@
 
 // The behaviours. "Execute" means that the request is recorded as an Execution.
 const (
-	Serve          Behaviour = ""      // execute and respond
-	Refuse         Behaviour = "shed"  // refuse with 503 and Not-Executed
-	Fail           Behaviour = "fail"  // execute and respond with 500
-	Drop           Behaviour = "drop"  // execute and close the connection without a response
-	Hang           Behaviour = "hang"  // execute and never respond
-	Truncate       Behaviour = "cut"   // execute and close the connection in the middle of the response
-	WrongAttemptID Behaviour = "wrong" // execute and respond with another request's Attempt-Id
-	Delay          Behaviour = "slow"  // execute and respond after a delay
-	Pause          Behaviour = "pause" // refuse like Refuse, with a Retry-After
-	Crash          Behaviour = "crash" // begin a stream, then end every request and stay away for a while
+	Serve          Behaviour = ""              // execute and respond
+	Refuse         Behaviour = "shed"          // refuse with 503 and Not-Executed
+	Fail           Behaviour = "fail"          // execute and respond with 500
+	Drop           Behaviour = "drop"          // execute and close the connection without a response
+	Hang           Behaviour = "hang"          // execute and never respond
+	Truncate       Behaviour = "cut"           // execute and close the connection in the middle of the response
+	WrongAttemptID Behaviour = "wrong"         // execute and respond with another request's Attempt-Id
+	Delay          Behaviour = "slow"          // execute and respond after a delay
+	Pause          Behaviour = "pause"         // refuse like Refuse, with a Retry-After
+	Unframed       Behaviour = "unframed"      // a stream with neither length nor chunks
+	UnframedCut    Behaviour = "unframedCut"   // the same, ended inside its second event
+	UnframedEmpty  Behaviour = "unframedEmpty" // the same, ended before its first event
+	Crash          Behaviour = "crash"         // begin a stream, then end every request and stay away for a while
 )
 
 // Execution is one request that a target executed.
@@ -80,6 +83,16 @@
 	return slices.Clone(c.executions)
 }
 
+// SetBehaviour sets the function that chooses how every target responds to each request.
+func (c *Cluster) SetBehaviour(behaviour func(r *http.Request) Behaviour) {
+	c.mu.Lock()
+	targets := slices.Collect(maps.Values(c.targets))
+	c.mu.Unlock()
+	for _, t := range targets {
+		t.SetBehaviour(behaviour)
+	}
+}
+
 // Target is a stand-in for a model runner or an application runner. It is safe for
 // concurrent use.
 type Target struct {
@@ -409,6 +422,10 @@
 		t.mu.Unlock()
 	}()
 	w.Header().Set("Content-Type", "text/event-stream")
+	if behaviour == Unframed || behaviour == UnframedCut || behaviour == UnframedEmpty {
+		t.streamUnframed(w, g, behaviour)
+		return
+	}
 	w.WriteHeader(http.StatusOK)
 	flusher := w.(http.Flusher)
 	flusher.Flush()
@@ -449,6 +466,27 @@
 	}
 }
 
+// streamUnframed sends a stream that ends with its connection.
+func (t *Target) streamUnframed(w http.ResponseWriter, g *generation, behaviour Behaviour) {
+	conn, buffered, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(buffered)
+	_, _ = buffered.WriteString("Connection: close\r\n\r\n")
+	defer func() { _ = buffered.Flush() }()
+	for n := g.sent + 1; n <= g.events && behaviour != UnframedEmpty; n++ {
+		event := fmt.Sprintf("id: %d\ndata: %s %s\n\n", n, g.execution, strings.Repeat("x", 20))
+		if behaviour == UnframedCut && n == g.sent+2 {
+			_, _ = buffered.WriteString(event[:len(event)/2])
+			return
+		}
+		_, _ = buffered.WriteString(event)
+	}
+}
+
 // downFor is how long a target stays away after a crash.
 const downFor = 300 * time.Millisecond
 
