Refuse a prompt only if it has every part that may be the cause

Callers: sound requests that shared a rarely used part with the deadly one were refused for ten minutes. Cause: each part was judged by itself, so all parts that the crashes had in common were guilty. Change: crashes are kept with all shared parts of their request. A request is refused only if it has every part that the crashes of one of its parts have in common and that is not proven sound. One that lacks some of them is sent: its first event proves its parts, or one more crash leaves the others out. VMs tell each other crashes, 16 a message and 128 kept.

--- a/fleet.go
+++ b/fleet.go
@@ -129,27 +129,29 @@
 	// none. Limits are the limits that the receiver may lack.
 	LimitDigest uint64        `cbor:"limitDigest,omitempty"`
 	Limits      []TargetLimit `cbor:"limits,omitempty"`
-	// SuspectDigest identifies the parts of prompts that the sender suspects to crash
-	// engines, 0 if there are none. Suspects are the parts that the receiver may lack.
-	SuspectDigest uint64        `cbor:"suspectDigest,omitempty"`
-	Suspects      []SuspectPart `cbor:"suspects,omitempty"`
+	// CrashDigest identifies the crashes of engines that the sender knows and that accuse
+	// parts of prompts, 0 if there are none. Crashes are those that the receiver may lack.
+	CrashDigest uint64        `cbor:"crashDigest,omitempty"`
+	Crashes     []PromptCrash `cbor:"crashes,omitempty"`
 }
 
-// SuspectPart is a part of prompts that may crash engines, as a VM knows it.
-type SuspectPart struct {
-	Service string      `cbor:"service"`
-	Part    string      `cbor:"part"`
-	Crashes []PartCrash `cbor:"crashes"`
-	// SoundAgeMs is the time since an answer to a request with the part last had its first
-	// event, in milliseconds, negative if it has had none.
-	SoundAgeMs int64 `cbor:"soundAgeMs"`
-}
-
-// PartCrash is the crash of an engine as it began to answer a request with a part.
-type PartCrash struct {
+// PromptCrash is the crash of an engine between the begin of an answer and its first event.
+type PromptCrash struct {
+	Service string `cbor:"service"`
 	Target  string `cbor:"target"`
+	// Account is that of the request.
 	Account string `cbor:"account"`
-	AgeMs   int64  `cbor:"ageMs"`
+	// Parts are the shared parts of the request's prompt.
+	Parts []PromptPart `cbor:"parts"`
+	AgeMs int64        `cbor:"ageMs"`
+}
+
+// PromptPart is a part of prompts that a crash accuses.
+type PromptPart struct {
+	ID string `cbor:"id"`
+	// SoundAgeMs is the time since an answer to a request with the part last had its first
+	// event, in milliseconds, negative if none is known.
+	SoundAgeMs int64 `cbor:"soundAgeMs"`
 }
 
 // TargetLimit is the limit of requests that a target has named, as a VM knows it.
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -73,9 +73,9 @@
 	Limits func(digest uint64) (uint64, []bluebelldoor.TargetLimit)
 	// ApplyLimits processes the limits that a peer has sent. It is set if Limits is.
 	ApplyLimits func(peer string, limits []bluebelldoor.TargetLimit)
-	// Suspects and ApplySuspects are the same for parts of prompts that may crash engines.
-	Suspects      func(digest uint64) (uint64, []bluebelldoor.SuspectPart)
-	ApplySuspects func(peer string, parts []bluebelldoor.SuspectPart)
+	// Crashes and ApplyCrashes are the same for crashes that accuse parts of prompts.
+	Crashes      func(digest uint64) (uint64, []bluebelldoor.PromptCrash)
+	ApplyCrashes func(peer string, crashes []bluebelldoor.PromptCrash)
 }
 
 // Gossiper maintains one VM's view of the membership. It is safe for concurrent use.
@@ -126,9 +126,9 @@
 		hooks.Limits = func(uint64) (uint64, []bluebelldoor.TargetLimit) { return 0, nil }
 		hooks.ApplyLimits = func(string, []bluebelldoor.TargetLimit) {}
 	}
-	if hooks.Suspects == nil {
-		hooks.Suspects = func(uint64) (uint64, []bluebelldoor.SuspectPart) { return 0, nil }
-		hooks.ApplySuspects = func(string, []bluebelldoor.SuspectPart) {}
+	if hooks.Crashes == nil {
+		hooks.Crashes = func(uint64) (uint64, []bluebelldoor.PromptCrash) { return 0, nil }
+		hooks.ApplyCrashes = func(string, []bluebelldoor.PromptCrash) {}
 	}
 	g := &Gossiper{
 		clock:       clock,
@@ -406,7 +406,7 @@
 	}
 	g.merge(reply)
 	g.hooks.ApplyLimits(reply.From, reply.Limits)
-	g.hooks.ApplySuspects(reply.From, reply.Suspects)
+	g.hooks.ApplyCrashes(reply.From, reply.Crashes)
 	g.hooks.ApplyDelta(ctx, reply.Delta, sentAt, true)
 }
 
@@ -423,7 +423,7 @@
 		HeldIncarnation: incarnation,
 	}
 	out.LimitDigest, out.Limits = g.hooks.Limits(g.table.LimitDigest(peer))
-	out.SuspectDigest, out.Suspects = g.hooks.Suspects(g.table.SuspectDigest(peer))
+	out.CrashDigest, out.Crashes = g.hooks.Crashes(g.table.CrashDigest(peer))
 	if m := g.table.members[peer]; m == nil || serves(m.state) || !self.Hub {
 		// Standbys place next to nothing, so they need no loads.
 		delta := g.loads.since(g.table.LoadsAcked(peer))
@@ -446,7 +446,7 @@
 	}
 	g.table.Acknowledge(in.From, in.HeldHeartbeat, in.KnownMembers)
 	g.table.SetLimitDigest(in.From, in.LimitDigest)
-	g.table.SetSuspectDigest(in.From, in.SuspectDigest)
+	g.table.SetCrashDigest(in.From, in.CrashDigest)
 }
 
 // replyMembers returns the members whose states a reply carries. The caller holds
@@ -474,7 +474,7 @@
 	g.mu.Unlock()
 	g.merge(in)
 	g.hooks.ApplyLimits(in.From, in.Limits)
-	g.hooks.ApplySuspects(in.From, in.Suspects)
+	g.hooks.ApplyCrashes(in.From, in.Crashes)
 	g.hooks.ApplyDelta(ctx, in.Delta, 0, false)
 	g.mu.Lock()
 	out := g.buildMessage(in.From, g.replyMembers(in.From, known))
--- a/process/gossiper/table.go
+++ b/process/gossiper/table.go
@@ -45,8 +45,8 @@
 	memberCount int
 	// limitDigest identifies the limited targets that it has reported to know.
 	limitDigest uint64
-	// suspectDigest identifies the suspected parts of prompts that it has reported to know.
-	suspectDigest uint64
+	// crashDigest identifies the crashes that accuse parts of prompts that it has reported to know.
+	crashDigest uint64
 }
 
 func (m *member) alive(now time.Duration) bool { return now-m.lastSeen <= m.timeout() }
@@ -154,17 +154,17 @@
 	return 0
 }
 
-// SetSuspectDigest records which suspected parts a member knows.
-func (t *Table) SetSuspectDigest(name string, digest uint64) {
+// SetCrashDigest records which crashes a member knows.
+func (t *Table) SetCrashDigest(name string, digest uint64) {
 	if m := t.members[name]; m != nil {
-		m.suspectDigest = digest
+		m.crashDigest = digest
 	}
 }
 
-// SuspectDigest returns the digest of the suspected parts that a member knows.
-func (t *Table) SuspectDigest(name string) uint64 {
+// CrashDigest returns the digest of the crashes that a member knows.
+func (t *Table) CrashDigest(name string) uint64 {
 	if m := t.members[name]; m != nil {
-		return m.suspectDigest
+		return m.crashDigest
 	}
 	return 0
 }
@@ -194,7 +194,7 @@
 		t.members[s.Name] = known
 	case s.Incarnation > known.state.Incarnation:
 		known.loadsReceived, known.loadsAcked, known.memberCount = 0, 0, 0
-		known.limitDigest, known.suspectDigest = 0, 0
+		known.limitDigest, known.crashDigest = 0, 0
 	case s.Incarnation < known.state.Incarnation || s.Heartbeat <= known.state.Heartbeat:
 		return false
 	case serves(s) != serves(known.state):
--- a/process/quarantiner/gossip.go
+++ b/process/quarantiner/gossip.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,105 +12,96 @@
 )
 
 const (
-	// maxSentSuspects bounds the parts in one message.
-	maxSentSuspects = 24
+	// maxSentCrashes bounds the crashes in one message.
+	maxSentCrashes = 16
 	// maxNameLength bounds the names that a message may hold.
 	maxNameLength = 256
-	// maxAge bounds the ages that a message may hold; older crashes are forgotten.
-	maxAge = forgetAfter
 )
 
-// digest returns the part's contribution to the digest of all parts: which engines crashed
-// and whether the part has been cleared, but no ages, as these differ between VMs.
-func (s *suspect) digest(k key) uint64 {
-	name := k.service + "\x00" + k.part
-	out := xxhash.Sum64String(fmt.Sprintf("%s\x00%t", name, s.isCleared()))
-	for _, c := range s.crashes {
-		out += xxhash.Sum64String(name + "\x00" + c.target)
-	}
-	return out
-}
-
-// updateDigest computes the digest anew. The caller holds q.mu.
-func (q *Quarantiner) updateDigest(now time.Duration) {
-	q.prune(now)
-	q.digest = 0
-	for k, s := range q.suspects {
-		q.digest ^= s.digest(k)
+// digest returns the contribution of a crash to the digest of all. Whether it has been
+// cleared counts, ages do not, as they differ between VMs. The caller holds q.mu.
+func (q *Quarantiner) digest(c crash) uint64 {
+	text := strings.Join(append([]string{c.service, c.target, c.account}, c.parts...), "\x00")
+	for _, part := range c.parts {
+		if !q.counts(c, part) {
+			text += "\x01" + part
+		}
 	}
+	return xxhash.Sum64String(text)
 }
 
-// Suspects returns the digest of the parts that the VM suspects, and the parts to send to a
-// peer that has the given digest: none if it knows the same. Those with the newest crash go
-// first.
-func (q *Quarantiner) Suspects(digest uint64) (uint64, []bluebelldoor.SuspectPart) {
+// Crashes returns the digest of the crashes that the VM knows, and the crashes to send to a
+// peer that has the given digest, the newest first: none if it knows the same.
+func (q *Quarantiner) Crashes(digest uint64) (uint64, []bluebelldoor.PromptCrash) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.suspects) == 0 {
+	if len(q.crashes) == 0 {
 		return 0, nil
 	}
 	now := q.clock.Now()
-	q.updateDigest(now)
-	if digest == q.digest {
-		return q.digest, nil
+	q.prune(now)
+	own := uint64(0)
+	for _, c := range q.crashes {
+		own += q.digest(c)
 	}
-	out := make([]bluebelldoor.SuspectPart, 0, len(q.suspects))
-	for k, s := range q.suspects {
-		out = append(out, s.message(k, now))
+	if digest == own {
+		return own, nil
 	}
-	newest := func(p bluebelldoor.SuspectPart) int64 {
-		return slices.MinFunc(p.Crashes, func(a, b bluebelldoor.PartCrash) int { return cmp.Compare(a.AgeMs, b.AgeMs) }).AgeMs
+	out := make([]bluebelldoor.PromptCrash, 0, len(q.crashes))
+	for _, c := range q.crashes {
+		out = append(out, q.message(c, now))
 	}
-	slices.SortFunc(out, func(a, b bluebelldoor.SuspectPart) int { return cmp.Compare(newest(a), newest(b)) })
-	return q.digest, out[:min(len(out), maxSentSuspects)]
+	slices.SortFunc(out, func(a, b bluebelldoor.PromptCrash) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
+	return own, out[:min(len(out), maxSentCrashes)]
 }
 
-func (s *suspect) message(k key, now time.Duration) bluebelldoor.SuspectPart {
-	out := bluebelldoor.SuspectPart{Service: k.service, Part: k.part, SoundAgeMs: -1}
-	if s.soundAt >= 0 {
-		out.SoundAgeMs = (now - s.soundAt).Milliseconds()
-	}
-	for _, c := range s.crashes {
-		out.Crashes = append(out.Crashes, bluebelldoor.PartCrash{Target: c.target, Account: c.account, AgeMs: (now - c.at).Milliseconds()})
+func (q *Quarantiner) message(c crash, now time.Duration) bluebelldoor.PromptCrash {
+	out := bluebelldoor.PromptCrash{Service: c.service, Target: c.target, Account: c.account, AgeMs: (now - c.at).Milliseconds()}
+	for _, part := range c.parts {
+		age := int64(-1)
+		if at, ok := q.soundAt[key{c.service, part}]; ok {
+			age = (now - at).Milliseconds()
+		}
+		out.Parts = append(out.Parts, bluebelldoor.PromptPart{ID: part, SoundAgeMs: age})
 	}
 	return out
 }
 
-// Merge applies the parts that a peer suspects, or has seen proven sound.
-func (q *Quarantiner) Merge(peer string, parts []bluebelldoor.SuspectPart) {
-	if len(parts) == 0 {
+// Merge applies the crashes that a peer knows, and when their parts were proven sound.
+// Malformed ones are ignored.
+func (q *Quarantiner) Merge(peer string, crashes []bluebelldoor.PromptCrash) {
+	if len(crashes) == 0 {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
-	for _, in := range parts[:min(len(parts), maxSentSuspects)] {
-		if len(in.Service) <= maxNameLength && len(in.Part) <= maxNameLength {
+	for _, in := range crashes[:min(len(crashes), maxSentCrashes)] {
+		if isValid(in) {
 			q.merge(peer, in, now)
 		}
 	}
-	q.updateDigest(now)
 }
 
-// merge applies one part. The caller holds q.mu.
-func (q *Quarantiner) merge(peer string, in bluebelldoor.SuspectPart, now time.Duration) {
-	k := key{in.Service, in.Part}
-	for _, c := range in.Crashes[:min(len(in.Crashes), maxCrashes)] {
-		age, ok := duration(c.AgeMs)
-		if !ok || len(c.Target) > maxNameLength || len(c.Account) > maxNameLength {
-			continue
-		}
-		q.addCrash(k, crash{c.Target, c.Account, now - age}, now, peer)
-	}
-	if age, ok := duration(in.SoundAgeMs); ok && q.suspects[k] != nil {
-		q.clear(k, q.suspects[k], now-age, now)
+func isValid(in bluebelldoor.PromptCrash) bool {
+	valid := len(in.Service) <= maxNameLength && len(in.Target) <= maxNameLength && len(in.Account) <= maxNameLength &&
+		in.AgeMs >= 0 && in.AgeMs <= forgetAfter.Milliseconds() && len(in.Parts) > 0 && len(in.Parts) <= maxParts
+	for _, part := range in.Parts {
+		valid = valid && len(part.ID) <= maxNameLength
 	}
+	return valid
 }
 
-// duration returns the age in a message, and false if it is out of range.
-func duration(ms int64) (time.Duration, bool) {
-	if ms < 0 || ms > maxAge.Milliseconds() {
-		return 0, false
+// merge applies one crash. The caller holds q.mu.
+func (q *Quarantiner) merge(peer string, in bluebelldoor.PromptCrash, now time.Duration) {
+	c := crash{service: in.Service, target: in.Target, account: in.Account, at: now - time.Duration(in.AgeMs)*time.Millisecond}
+	for _, part := range in.Parts {
+		c.parts = append(c.parts, part.ID)
+	}
+	q.addCrash(c, now, peer)
+	for _, part := range in.Parts {
+		if part.SoundAgeMs >= 0 && part.SoundAgeMs <= forgetAfter.Milliseconds() {
+			q.clear(key{in.Service, part.ID}, now-time.Duration(part.SoundAgeMs)*time.Millisecond)
+		}
 	}
-	return time.Duration(ms) * time.Millisecond, true
 }
--- a/process/quarantiner/quarantiner.go
+++ b/process/quarantiner/quarantiner.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,13 +23,13 @@
 	// quarantineFor is how long after the latest crash a part is kept away from engines.
 	// After that one more crash is enough to quarantine it again.
 	quarantineFor = 10 * time.Minute
-	// forgetAfter is how long after the latest crash a part is forgotten, and
-	// forgetClearedAfter the same for one that has been proven sound.
+	// forgetAfter is how long a crash is remembered, and forgetClearedAfter the same for one
+	// whose parts have all been proven sound.
 	forgetAfter        = time.Hour
 	forgetClearedAfter = 30 * time.Second
-	// maxSuspects bounds the parts that are kept, and maxCrashes the crashes of each.
-	maxSuspects = 256
-	maxCrashes  = 8
+	// maxCrashes bounds the crashes that are remembered, and maxParts the parts of each.
+	maxCrashes = 128
+	maxParts   = 32
 	// maxProofs bounds the sound parts that are remembered before any of them is accused.
 	maxProofs = 4096
 )
@@ -36,20 +37,20 @@
 // key identifies a part of the prompts of one service.
 type key struct{ service, part string }
 
-// crash is the end of an engine as it began to answer a request with a part.
+// crash is the end of an engine after it had begun to answer a request, and before the
+// first event of that answer.
 type crash struct {
+	service string
 	target  string
 	account string
-	at      time.Duration
+	// parts are the shared parts of the request's prompt.
+	parts []string
+	at    time.Duration
 }
 
-// suspect is what is known of an accused part.
-type suspect struct {
-	crashes []crash
-	// soundAt is when an answer with the part last had its first event, -1 if never.
-	soundAt time.Duration
-	// quarantined is set once the part has been quarantined, for the log.
-	quarantined bool
+// isSameEvent reports whether two requests were ended by one crash.
+func (c crash) isSameEvent(other crash) bool {
+	return c.service == other.service && c.target == other.target && (c.at-other.at).Abs() < sameCrashWithin
 }
 
 // Verdict tells why a request is kept away from engines.
@@ -60,22 +61,29 @@
 	Age time.Duration
 }
 
-// Quarantiner keeps the suspected parts of one VM. It is safe for concurrent use.
+// Quarantiner keeps the crashes that accuse parts of prompts, on one VM. It is safe for
+// concurrent use.
 type Quarantiner struct {
 	clock   bluebelldoor.Clock
 	log     hclog.Logger
 	changed func()
 
-	mu       sync.Mutex
-	suspects map[key]*suspect
-	proofs   *proofs
-	digest   uint64
+	mu      sync.Mutex
+	crashes []crash
+	// soundAt is when an answer with a part of one of the crashes last had its first event.
+	soundAt map[key]time.Duration
+	proofs  *proofs
+	// quarantined are the sets of parts that have been quarantined, joined, for the log.
+	quarantined map[string]bool
 }
 
 // New returns a quarantiner. changed is called when there is something to tell peers; it
 // must not block or call the quarantiner.
 func New(clock bluebelldoor.Clock, changed func(), log hclog.Logger) *Quarantiner {
-	return &Quarantiner{clock: clock, log: log, changed: changed, suspects: map[key]*suspect{}, proofs: newProofs(maxProofs)}
+	return &Quarantiner{
+		clock: clock, log: log, changed: changed,
+		soundAt: map[key]time.Duration{}, proofs: newProofs(maxProofs), quarantined: map[string]bool{},
+	}
 }
 
 // RecordCrash records that an engine of a service crashed after it had begun to answer a
@@ -86,11 +94,7 @@
 	}
 	q.mu.Lock()
 	now := q.clock.Now()
-	q.prune(now)
-	for _, part := range parts {
-		q.addCrash(key{service, part}, crash{target.ID, account, now}, now, "")
-	}
-	q.updateDigest(now)
+	q.addCrash(crash{service, target.ID, account, parts[:min(len(parts), maxParts)], now}, now, "")
 	q.mu.Unlock()
 	q.changed()
 }
@@ -105,183 +109,192 @@
 	defer q.mu.Unlock()
 	now := q.clock.Now()
 	for _, part := range parts {
-		k := key{service, part}
-		q.proofs.add(k, now)
-		if s := q.suspects[k]; s != nil {
-			q.clear(k, s, now, now)
-		}
+		q.proofs.add(key{service, part}, now)
+		q.clear(key{service, part}, now)
 	}
 }
 
 // Check returns why a request of an account with these parts must not be sent to engines of
-// a service, and false if it may.
+// a service, and false if it may. It may if it lacks one of several parts of which each may
+// be the cause: then its answer tells which is sound.
 func (q *Quarantiner) Check(service, account string, parts []string) (Verdict, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.suspects) == 0 {
+	if len(q.crashes) == 0 {
 		return Verdict{}, false
 	}
 	now := q.clock.Now()
 	for _, part := range parts {
-		if s := q.suspects[key{service, part}]; s != nil {
-			if n, last := s.held(account); n >= minCrashes && now-last < quarantineFor {
-				return Verdict{part, n, now - last}, true
-			}
+		n, last, causes := q.evidence(key{service, part}, account)
+		if n < minCrashes || now-last >= quarantineFor {
+			continue
+		}
+		if !slices.ContainsFunc(causes, func(cause string) bool { return !slices.Contains(parts, cause) }) {
+			return Verdict{part, n, now - last}, true
 		}
 	}
 	return Verdict{}, false
 }
 
-// Count returns the number of quarantined parts.
+// Count returns the number of sets of parts that are quarantined.
 func (q *Quarantiner) Count() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	n, now := 0, q.clock.Now()
-	for _, s := range q.suspects {
-		if s.isQuarantined(now) {
-			n++
-		}
-	}
-	return n
+	return len(q.quarantinedSets(q.clock.Now()))
 }
 
-// counts reports whether a crash speaks against a part: no proof of it was newer, or held
-// when the crash came.
-func (s *suspect) counts(c crash) bool { return s.soundAt < 0 || c.at > s.soundAt+proofHolds }
+// counts reports whether a crash speaks against one of its parts: no proof of it was newer,
+// or held when the crash came. The caller holds q.mu.
+func (q *Quarantiner) counts(c crash, part string) bool {
+	at, ok := q.soundAt[key{c.service, part}]
+	return !ok || c.at > at+proofHolds
+}
 
-// held returns how many crashes speak against the part for an account, and when the latest
-// was. Crashes of several accounts count for all; those of one account for that account
-// only, lest it has the parts of others refused.
-func (s *suspect) held(account string) (n int, last time.Duration) {
-	own, all := 0, 0
-	several := false
-	first := ""
-	for _, c := range s.crashes {
-		if !s.counts(c) {
-			continue
-		}
-		if all == 0 {
-			first = c.account
+// evidence returns how many crashes speak against a part for an account, when the latest
+// was, and the parts that are in all of them, of which any may be the cause. Crashes of
+// several accounts count for all; those of one account for that account only, lest it has
+// the parts of others refused. The caller holds q.mu.
+func (q *Quarantiner) evidence(k key, account string) (n int, last time.Duration, causes []string) {
+	var against []crash
+	accounts := map[string]bool{}
+	for _, c := range q.crashes {
+		if c.service == k.service && slices.Contains(c.parts, k.part) && q.counts(c, k.part) {
+			against = append(against, c)
+			accounts[c.account] = true
 		}
-		several = several || c.account != first
-		all++
-		if c.account == account {
-			own++
+	}
+	if len(accounts) == 1 && !accounts[account] {
+		return 0, 0, nil
+	}
+	for i, c := range against {
+		if !slices.ContainsFunc(against[:i], c.isSameEvent) {
+			n++
 		}
 		last = max(last, c.at)
+		live := slices.DeleteFunc(slices.Clone(c.parts), func(part string) bool { return !q.counts(c, part) })
+		if i == 0 {
+			causes = live
+		}
+		causes = slices.DeleteFunc(causes, func(part string) bool { return !slices.Contains(live, part) })
 	}
-	if several {
-		return all, last
-	}
-	return own, last
+	return n, last, causes
 }
 
-func (s *suspect) isQuarantined(now time.Duration) bool {
-	for _, c := range s.crashes {
-		if n, last := s.held(c.account); n >= minCrashes && now-last < quarantineFor {
-			return true
+// quarantinedSets returns the sets of parts that are quarantined, joined. The caller holds
+// q.mu.
+func (q *Quarantiner) quarantinedSets(now time.Duration) map[string]bool {
+	out := map[string]bool{}
+	for _, c := range q.crashes {
+		for _, part := range c.parts {
+			if n, last, causes := q.evidence(key{c.service, part}, c.account); n >= minCrashes && now-last < quarantineFor {
+				slices.Sort(causes)
+				out[c.service+"/"+strings.Join(slices.Compact(causes), ",")] = true
+			}
 		}
 	}
-	return false
+	return out
 }
 
-// addCrash records one crash, unless it is known. The caller holds q.mu.
-func (q *Quarantiner) addCrash(k key, c crash, now time.Duration, peer string) {
-	s := q.suspects[k]
-	if s == nil {
-		if len(q.suspects) >= maxSuspects && !q.evict(now) {
-			return
-		}
-		s = &suspect{soundAt: -1}
-		if at, ok := q.proofs.last(k); ok {
-			s.soundAt = at
+// logChanges logs which sets of parts are quarantined now and were not, and the other way
+// round. The caller holds q.mu.
+func (q *Quarantiner) logChanges(now time.Duration) {
+	sets := q.quarantinedSets(now)
+	for set := range sets {
+		if !q.quarantined[set] {
+			q.log.Warn("parts quarantined", "parts", set, "forMs", quarantineFor.Milliseconds())
 		}
-		q.suspects[k] = s
 	}
-	for _, known := range s.crashes {
-		if known.target == c.target && (known.at-c.at).Abs() < sameCrashWithin {
-			return
+	for set := range q.quarantined {
+		if !sets[set] {
+			q.log.Info("parts no longer quarantined", "parts", set)
 		}
 	}
-	if len(s.crashes) >= maxCrashes {
-		s.crashes = s.crashes[1:]
-	}
-	s.crashes = append(s.crashes, c)
-	q.log.Info("engine crashed at a part", "service", k.service, "part", k.part, "target", c.target, "account", c.account, "ageMs", (now - c.at).Milliseconds(),
-		"crashes", len(s.crashes), "counts", s.counts(c), "peer", peer)
-	q.logQuarantine(k, s, now)
+	q.quarantined = sets
 }
 
-// logQuarantine logs that a part is quarantined. The caller holds q.mu.
-func (q *Quarantiner) logQuarantine(k key, s *suspect, now time.Duration) {
-	if s.quarantined || !s.isQuarantined(now) {
+// addCrash records a crash, unless it is known, and reports whether it does. The caller
+// holds q.mu.
+func (q *Quarantiner) addCrash(c crash, now time.Duration, peer string) {
+	q.prune(now)
+	known := func(other crash) bool {
+		return c.isSameEvent(other) && c.account == other.account && slices.Equal(c.parts, other.parts)
+	}
+	if slices.ContainsFunc(q.crashes, known) || len(q.crashes) >= maxCrashes && !q.evict(now) {
 		return
 	}
-	s.quarantined = true
-	var targets []string
-	for _, c := range s.crashes {
-		targets = append(targets, c.target)
+	for _, part := range c.parts {
+		k := key{c.service, part}
+		if at, ok := q.proofs.last(k); ok {
+			q.soundAt[k] = max(at, q.soundAt[k])
+		}
 	}
-	q.log.Warn("part quarantined", "service", k.service, "part", k.part, "targets", strings.Join(targets, ","), "forMs", quarantineFor.Milliseconds())
+	q.crashes = append(q.crashes, c)
+	q.log.Info("engine crashed before the first event", "service", c.service, "target", c.target, "account", c.account,
+		"parts", strings.Join(c.parts, ","), "ageMs", (now - c.at).Milliseconds(), "known", len(q.crashes), "peer", peer)
+	q.logChanges(now)
 }
 
 // clear records a proof that a part is sound. The caller holds q.mu.
-func (q *Quarantiner) clear(k key, s *suspect, at, now time.Duration) {
-	if at <= s.soundAt {
-		return
+func (q *Quarantiner) clear(k key, at time.Duration) {
+	known, accused := q.soundAt[k]
+	if !accused {
+		accused = slices.ContainsFunc(q.crashes, func(c crash) bool { return c.service == k.service && slices.Contains(c.parts, k.part) })
 	}
-	wasCleared := s.isCleared()
-	s.soundAt = at
-	if s.quarantined && !s.isQuarantined(now) {
-		s.quarantined = false
-		q.log.Info("part proven sound", "service", k.service, "part", k.part, "ageMs", (now - at).Milliseconds())
+	if !accused || at <= known {
+		return
 	}
-	if !wasCleared && s.isCleared() {
-		q.updateDigest(now)
+	q.soundAt[k] = at
+	if len(q.quarantined) > 0 {
+		q.logChanges(q.clock.Now())
 	}
 }
 
-// latest returns when the part was last accused.
-func (s *suspect) latest() time.Duration {
-	last := time.Duration(0)
-	for _, c := range s.crashes {
-		last = max(last, c.at)
-	}
-	return last
+// isCleared reports whether a crash speaks against none of its parts any more. The caller
+// holds q.mu.
+func (q *Quarantiner) isCleared(c crash) bool {
+	return !slices.ContainsFunc(c.parts, func(part string) bool { return q.counts(c, part) })
 }
 
-// isCleared reports whether no crash speaks against the part any more.
-func (s *suspect) isCleared() bool {
-	for _, c := range s.crashes {
-		if s.counts(c) {
-			return false
-		}
+// prune forgets old crashes. The caller holds q.mu.
+func (q *Quarantiner) prune(now time.Duration) {
+	before := len(q.crashes)
+	q.crashes = slices.DeleteFunc(q.crashes, func(c crash) bool {
+		return now-c.at > forgetAfter || now-c.at > forgetClearedAfter && q.isCleared(c)
+	})
+	if len(q.crashes) < before {
+		q.forgetProofs()
 	}
-	return true
 }
 
-// prune removes parts that have not been accused for long. The caller holds q.mu.
-func (q *Quarantiner) prune(now time.Duration) {
-	for k, s := range q.suspects {
-		age := now - s.latest()
-		if age > forgetAfter || age > forgetClearedAfter && s.isCleared() {
-			delete(q.suspects, k)
+// forgetProofs forgets the proofs of parts that no remembered crash accuses. The caller
+// holds q.mu.
+func (q *Quarantiner) forgetProofs() {
+	accused := map[key]bool{}
+	for _, c := range q.crashes {
+		for _, part := range c.parts {
+			accused[key{c.service, part}] = true
+		}
+	}
+	for k := range q.soundAt {
+		if !accused[k] {
+			delete(q.soundAt, k)
 		}
 	}
 }
 
-// evict removes the part with the oldest crash among those that are not quarantined, and
-// reports whether there was one. The caller holds q.mu.
+// evict forgets the oldest crash that contributes to no quarantine, and reports whether
+// there was one. The caller holds q.mu.
 func (q *Quarantiner) evict(now time.Duration) bool {
-	var oldest *key
-	for k, s := range q.suspects {
-		if !s.isQuarantined(now) && (oldest == nil || s.latest() < q.suspects[*oldest].latest()) {
-			oldest = &k
+	for i, c := range q.crashes {
+		contributes := slices.ContainsFunc(c.parts, func(part string) bool {
+			n, last, _ := q.evidence(key{c.service, part}, c.account)
+			return n >= minCrashes && now-last < quarantineFor && q.counts(c, part)
+		})
+		if !contributes {
+			q.crashes = slices.Delete(q.crashes, i, i+1)
+			q.forgetProofs()
+			return true
 		}
 	}
-	if oldest == nil {
-		return false
-	}
-	delete(q.suspects, *oldest)
-	return true
+	return false
 }
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -97,8 +97,8 @@
 		ApplyDelta:     r.registrar.ApplyDelta,
 		Limits:         func(digest uint64) (uint64, []bluebelldoor.TargetLimit) { return r.limiter.Limits(digest) },
 		ApplyLimits:    func(peer string, limits []bluebelldoor.TargetLimit) { r.limiter.Merge(peer, limits) },
-		Suspects:       func(digest uint64) (uint64, []bluebelldoor.SuspectPart) { return r.parts.Suspects(digest) },
-		ApplySuspects:  func(peer string, parts []bluebelldoor.SuspectPart) { r.parts.Merge(peer, parts) },
+		Crashes:        func(digest uint64) (uint64, []bluebelldoor.PromptCrash) { return r.parts.Crashes(digest) },
+		ApplyCrashes:   func(peer string, crashes []bluebelldoor.PromptCrash) { r.parts.Merge(peer, crashes) },
 	}, log.Named("gossiper"))
 	r.parts = quarantiner.New(adapters.Clock, r.gossiper.Trigger, log.Named("quarantiner"))
 	r.turner = turner.New(settings.Name, peers, r.turnGrantors, log.Named("turner"))
