--- a/cmd/bluebelldoor/soak_test.go
+++ b/cmd/bluebelldoor/soak_test.go
@@ -77,6 +77,10 @@
 	random *rand.Rand
 	// limitRandom chooses the limits that targets name.
 	limitRandom *rand.Rand
+	// restoreRandom chooses when the store is copied, and when it returns to copied. Its
+	// random numbers are its own, so that the other faults of a seed stay the same.
+	restoreRandom *rand.Rand
+	copied        *lender.Copy
 
 	store     *lender.Store
 	targetSet *lender.Cluster
@@ -107,7 +111,7 @@
 func runSoak(t *testing.T, seed uint64) {
 	store, stopStore := lender.NewStore()
 	t.Cleanup(stopStore)
-	s := &soak{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(seed, 99)), limitRandom: rand.New(rand.NewPCG(seed, 98)), store: store, targetSet: lender.NewCluster(store)}
+	s := &soak{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(seed, 99)), limitRandom: rand.New(rand.NewPCG(seed, 98)), restoreRandom: rand.New(rand.NewPCG(seed, 97)), store: store, targetSet: lender.NewCluster(store)}
 	if logDir := os.Getenv("BLUEBELLDOOR_SOAK_LOGS"); logDir != "" {
 		s.dir = filepath.Join(logDir, fmt.Sprint(seed))
 		assert.NilError(t, os.MkdirAll(s.dir, 0o755))
--- a/cmd/bluebelldoor/soakfaults_test.go
+++ b/cmd/bluebelldoor/soakfaults_test.go
@@ -21,6 +21,7 @@
 		v, l := s.vms[s.random.IntN(len(s.vms))], s.links[s.random.IntN(len(s.links))]
 		d := time.Duration(200+s.random.IntN(1500)) * time.Millisecond
 		s.changeLimits()
+		s.restoreStore(pending.Go)
 		switch kind := s.random.IntN(13); kind {
 		case 0:
 			pending.Go(func() { s.restart(v, syscall.SIGKILL) })
@@ -52,6 +53,31 @@
 	pending.Wait()
 }
 
+// restoreStore sometimes takes a copy of the store, or returns the store to it after a
+// moment without answers. What was lost is written again a little later.
+func (s *soak) restoreStore(inBackground func(func())) {
+	switch s.restoreRandom.IntN(8) {
+	case 0:
+		copied := s.store.Copy()
+		s.copied = &copied
+	case 1:
+		if s.copied == nil {
+			return
+		}
+		copied := *s.copied
+		s.copied = nil
+		away, lostFor := time.Duration(s.restoreRandom.IntN(800))*time.Millisecond, time.Duration(s.restoreRandom.IntN(1500))*time.Millisecond
+		s.store.SetMode(lender.Unresponsive)
+		inBackground(func() {
+			time.Sleep(away)
+			rewrite := s.store.Restore(copied)
+			s.store.SetMode(lender.Up)
+			time.Sleep(lostFor)
+			rewrite()
+		})
+	}
+}
+
 func (s *soak) endOutages() {
 	for i := range 3 {
 		s.store.Remove("op/evacuate/" + dataCentre(i))
--- a/standin/lender/store.go
+++ b/standin/lender/store.go
@@ -131,13 +131,29 @@
 }
 
 // Restore returns the store to an older copy and begins a new era. Watches that wait are
-// cut.
-func (s *Store) Restore(c Copy) {
+// cut. The returned function writes again what was lost and has not been written since.
+func (s *Store) Restore(c Copy) (rewrite func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	lost := s.items
 	s.era++
 	s.revision, s.items = c.revision, maps.Clone(c.items)
 	s.notify()
+	return func() { s.rewrite(lost, c) }
+}
+
+func (s *Store) rewrite(lost map[string]item, c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, was := range lost {
+		if s.items[key] != c.items[key] || was == c.items[key] {
+			continue
+		}
+		s.revision++
+		was.Revision = s.revision
+		s.items[key] = was
+	}
+	s.notify()
 }
 
 // ServeHTTP implements http.Handler.
