--- a/process/explainer/explainer_test.go
+++ b/process/explainer/explainer_test.go
@@ -37,6 +37,7 @@
 		"a whole stream":         {[]string{targetChosen(1, "a", "t"), requestEnded(2, "a", "answered", `"code":0`)}, "whole"},
 		"the target's failure":   {[]string{targetChosen(1, "a", "t"), requestEnded(2, "a", "answered", `"code":0,"status":500`)}, "the target failed"},
 		"refused":                {[]string{requestEnded(2, "a", "refused", `"code":211`)}, "refused, enginesCrowded"},
+		"a quarantined part":     {[]string{requestEnded(2, "a", "refused", `"code":113`)}, "refused, promptQuarantined"},
 		"broken off":             {[]string{targetChosen(1, "a", "t"), requestEnded(2, "a", "broken off", `"code":301,"target":"t"`)}, "broken off, targetLost"},
 		"its target is leaving":  {[]string{line(1, "vm-2.registrar", "target takes no new work", `"target":"t"`), targetChosen(1, "a", "t"), requestEnded(3, "a", "broken off", `"code":301,"target":"t"`)}, "broken off, targetLost, its target was leaving"},
 		"its target left then":   {[]string{targetChosen(1, "a", "t"), requestEnded(3, "a", "broken off", `"code":301,"target":"t"`), line(4, "vm-2.registrar", "target takes no new work", `"target":"t"`)}, "broken off, targetLost"},
