Bound an event of a stream

Report: one malformed message took a whole process down. An event of more than 1 MiB breaks the stream off.

--- a/process/runner/moves_test.go
+++ b/process/runner/moves_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -111,6 +112,27 @@
 	}
 }
 
+// TestRelayEndlessEvent guards against a target that sends an event without end: the VM held
+// all of it in memory.
+func TestRelayEndlessEvent(t *testing.T) {
+	f := startRelays(t, 1)
+	t.Cleanup(f.targets.Add("engine-1", "engine", "dc-0").Stop)
+	t.Cleanup(f.targets.Add("app-1", "app", "dc-0").Stop)
+	f.awaitTargets(t)
+	f.targets.SetBehaviour(func(r *http.Request) lender.Behaviour {
+		if r.Header.Get("Token-Count") != "" {
+			return lender.Endless
+		}
+		return lender.Serve
+	})
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	got := f.vms[0].generate(t, streamPath, "endless", 10)
+	runtime.ReadMemStats(&after)
+	assert.Assert(t, !got.complete)
+	assert.Assert(t, after.TotalAlloc-before.TotalAlloc < 32<<20, "%d bytes allocated", after.TotalAlloc-before.TotalAlloc)
+}
+
 // TestRelayStreamThenError guards against ORDER and MIXED: a stream broke off, the engine
 // that was to continue it answered with an error, and the caller found the error in its
 // stream, or a stream that looked complete.
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -24,6 +24,9 @@
 	expectedRestRatio = 0.3
 	// streamBufferBytes is enough for several events.
 	streamBufferBytes = 8 << 10
+	// maxEventBytes bounds an event, which is held in memory until it is complete. Events
+	// hold a few tokens.
+	maxEventBytes = 1 << 20
 )
 
 // stream is an event stream that is being forwarded to the caller.
@@ -249,6 +252,9 @@
 // forwardChunk forwards the events that a part of the response completes.
 func (s *stream) forwardChunk(part []byte, reservation *placer.Reservation) error {
 	complete := s.events.feed(part)
+	if len(s.events.partial)-len(complete) > maxEventBytes {
+		return errEventTooLong
+	}
 	if len(complete) == 0 {
 		return nil
 	}
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -36,6 +36,7 @@
 	errPaused       = errors.New("target has asked this VM to pause")
 	errQuarantined  = errors.New("a part of the prompt is kept away from engines")
 	errNoPermit     = errors.New("target has a limit, and this VM has no valid permit")
+	errEventTooLong = errors.New("target sent an event of more than 1 MiB")
 	errTooLarge     = errors.New("response too large to buffer")
 	errTruncated    = errors.New("response truncated")
 )
--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -33,6 +33,7 @@
 	Unframed       Behaviour = "unframed"      // a stream with neither length nor chunks
 	UnframedCut    Behaviour = "unframedCut"   // the same, ended inside its second event
 	UnframedEmpty  Behaviour = "unframedEmpty" // the same, ended before its first event
+	Endless        Behaviour = "endless"       // begin a stream and send one event of floodBytes
 	Crash          Behaviour = "crash"         // begin a stream, then end every request and stay away for a while
 )
 
@@ -429,6 +430,10 @@
 	w.WriteHeader(http.StatusOK)
 	flusher := w.(http.Flusher)
 	flusher.Flush()
+	if behaviour == Endless {
+		flood(w)
+		panic(http.ErrAbortHandler)
+	}
 	if behaviour == Crash {
 		time.Sleep(eventInterval)
 		t.crash()
@@ -487,6 +492,19 @@
 	}
 }
 
+// floodBytes is the length of an event of a target that is Endless.
+const floodBytes = 64 << 20
+
+// flood writes one event of floodBytes.
+func flood(w io.Writer) {
+	line := []byte("data: " + strings.Repeat("x", 32<<10) + "\n")
+	for sent := 0; sent < floodBytes; sent += len(line) {
+		if _, err := w.Write(line); err != nil {
+			return
+		}
+	}
+}
+
 // downFor is how long a target stays away after a crash.
 const downFor = 300 * time.Millisecond
 
