--- a/process/runner/parts_test.go
+++ b/process/runner/parts_test.go
@@ -150,3 +150,54 @@
 	assert.Check(t, sound >= 0.9, "LOST: sound requests served: %.2f", sound)
 	assert.Check(t, load.deadly[422] > 0, "no request with the part was refused for it")
 }
+
+// TestRelayOtherCrashes checks that engines that are lost for another reason than a part of
+// the prompt leave every part innocent.
+func TestRelayOtherCrashes(t *testing.T) {
+	const engines = 5
+	for name, c := range map[string]struct {
+		act lender.Behaviour
+		// leaves makes the engine announce that it leaves, before it ends its streams.
+		leaves bool
+		within string // the caller's time limit in ms
+	}{
+		"lost before the answer":      {lender.Drop, false, "3000"},
+		"cut after some events":       {lender.Truncate, false, "3000"},
+		"silent until the time is up": {lender.Stall, false, "200"},
+		"fails":                       {lender.Fail, false, "3000"},
+		"leaves":                      {lender.Crash, true, "3000"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startRelays(t, 1)
+			for i := range engines {
+				e := f.targets.Add(fmt.Sprintf("engine-%d", i), "engine", "dc-0")
+				t.Cleanup(e.Stop)
+				e.SetBehaviour(func(r *http.Request) lender.Behaviour {
+					if !strings.HasPrefix(r.Header.Get("Attempt-Id"), "hit") {
+						return lender.Serve
+					}
+					if c.leaves {
+						e.Register("draining")
+						time.Sleep(300 * time.Millisecond)
+					}
+					return c.act
+				})
+			}
+			t.Cleanup(f.targets.Add("app", "app", "dc-0").Stop)
+			f.awaitTargets(t)
+			send := func(id, within string) callerResponse {
+				return f.vms[0].send(t, "POST", streamPath+"x", id, map[string]string{
+					"Token-Count": "40,6", "Prompt-Prefix": "aaaa0001:79," + id + ":40", "Deadline-Ms": within,
+				})
+			}
+			for i := range engines - 1 {
+				got := send(fmt.Sprintf("hit-%d", i), c.within)
+				assert.Assert(t, got.status != 200 || !got.complete)
+				time.Sleep(400 * time.Millisecond)
+			}
+			assert.Equal(t, f.vms[0].Status().QuarantinedParts, 0)
+			got := send("after", "3000")
+			assert.Assert(t, got.status == 200 && got.complete, "%d %s", got.status, got.body)
+		})
+	}
+}
--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -34,6 +34,7 @@
 	UnframedCut    Behaviour = "unframedCut"   // the same, ended inside its second event
 	UnframedEmpty  Behaviour = "unframedEmpty" // the same, ended before its first event
 	Endless        Behaviour = "endless"       // begin a stream and send one event of floodBytes
+	Stall          Behaviour = "stall"         // begin a stream and send no event
 	Crash          Behaviour = "crash"         // begin a stream, then end every request and stay away for a while
 )
 
@@ -430,6 +431,10 @@
 	w.WriteHeader(http.StatusOK)
 	flusher := w.(http.Flusher)
 	flusher.Flush()
+	if behaviour == Stall {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if behaviour == Endless {
 		flood(w)
 		panic(http.ErrAbortHandler)
