--- /dev/null
+++ b/process/registrar/peers.go
@@ -0,0 +1,137 @@
+package registrar
+
+import (
+	"context"
+	"time"
+
+	"bluebelldoor"
+)
+
+// Delta returns the changes after the position that a peer holds. request is the peer's
+// delta if this one replies to it, else nil. The full state is sent only if the request
+// asks for it: it is large, and a VM that starts reads it from the platform.
+func (r *Registrar) Delta(ctx context.Context, after bluebelldoor.Position, request *bluebelldoor.RecordDelta) bluebelldoor.RecordDelta {
+	position := r.Position()
+	full := request != nil && request.WantFull
+	out := bluebelldoor.RecordDelta{BaseEra: position.Era, Base: position.Revision, Era: position.Era, Revision: position.Revision}
+	if after != position && (after.Revision > 0 || full) {
+		r.do(ctx, func() { out = r.state.delta(after, full) })
+	}
+	out.EvidenceAgeMs = -1
+	if age, ok := r.EvidenceAge(); ok {
+		out.EvidenceAgeMs = age.Milliseconds() + 1
+	}
+	out.Leaving = r.leavingIncarnations()
+	out.WantFull = (position.Revision == 0 || r.gap.Load()) && r.clock.Now()-r.started > fullStateDelay
+	r.carry(&out, request)
+	return out
+}
+
+// carry adds to a delta what the VM keeps in force that the catalogue may not show.
+func (r *Registrar) carry(out *bluebelldoor.RecordDelta, request *bluebelldoor.RecordDelta) {
+	c := r.carried.Load()
+	out.RoutingVersion, out.RetainedDigest = c.routingVersion, c.digest
+	if request == nil {
+		return
+	}
+	if request.RoutingVersion < c.routingVersion {
+		out.Routing = c.routing
+	}
+	if request.RetainedDigest != c.digest {
+		out.Retained = c.retained
+	}
+}
+
+// ApplyDelta applies a peer's delta. Only a reply to a request sent at sentAt is
+// evidence: the age of an unsolicited message is unknown.
+func (r *Registrar) ApplyDelta(ctx context.Context, delta bluebelldoor.RecordDelta, sentAt time.Duration, isReply bool) {
+	r.noteEra(delta.Era)
+	if isReply && delta.Revision > 0 {
+		r.peerAnswered.Store(true)
+	}
+	if delta.Position().After(r.Position()) {
+		r.do(ctx, func() { r.applyRecords(delta) })
+	}
+	if delta.Routing != nil || delta.Retained != nil {
+		r.do(ctx, func() { r.applyCarried(delta) })
+	}
+	if len(delta.Leaving) > 0 {
+		r.markLeaving(ctx, delta.Leaving)
+	}
+	if isReply && delta.EvidenceAgeMs >= 0 && delta.Position() == r.Position() {
+		r.renewEvidence(sentAt - time.Duration(delta.EvidenceAgeMs)*time.Millisecond)
+	}
+}
+
+// applyRecords applies the records of a peer's delta, or notes that records before them
+// are missing.
+func (r *Registrar) applyRecords(delta bluebelldoor.RecordDelta) {
+	held, base := r.state.position, bluebelldoor.Position{Era: delta.BaseEra, Revision: delta.Base}
+	switch {
+	case !delta.Position().After(held):
+		return
+	case base.Revision == 0:
+	case delta.Era == held.Era && base.Era == held.Era && !base.After(held):
+	case delta.CrossesEras && base == held:
+	default:
+		r.gap.Store(true)
+		return
+	}
+	r.gap.Store(false)
+	silence, _ := r.EvidenceAge()
+	r.publish(r.state.apply(bluebelldoor.CatalogueReply{
+		Era:      delta.Era,
+		Revision: delta.Revision,
+		Full:     base.Revision == 0,
+		Records:  delta.Records,
+		Unseen:   bluebelldoor.Position{Era: delta.UnseenEra, Revision: delta.Unseen},
+	}, r.clock.Now(), silence))
+}
+
+// applyCarried applies what a peer keeps in force that the catalogue does not show.
+func (r *Registrar) applyCarried(delta bluebelldoor.RecordDelta) {
+	changed := false
+	if delta.Routing != nil {
+		if c := r.state.decode(*delta.Routing); c.Err == nil && c.Routing != nil {
+			changed = r.state.setRouting(c.Routing, *delta.Routing)
+		}
+	}
+	if delta.Retained != nil {
+		changed = r.state.applyRetained(delta.Retained, r.clock.Now()) || changed
+	}
+	r.publish(changed)
+}
+
+// MarkLeaving records that a target itself has announced that it is leaving, and passes
+// the notice on to peers. When it returns, the view shows the target as leaving; no
+// later record of the same incarnation reverts that.
+func (r *Registrar) MarkLeaving(ctx context.Context, t *bluebelldoor.Instance) {
+	r.markLeaving(ctx, []bluebelldoor.TargetIncarnation{t.Incarnation()})
+}
+
+func (r *Registrar) markLeaving(ctx context.Context, incarnations []bluebelldoor.TargetIncarnation) {
+	r.do(ctx, func() {
+		now, changed := r.clock.Now(), false
+		if age, ok := r.EvidenceAge(); ok {
+			r.state.verifiedAt = now - age
+		}
+		for _, incarnation := range incarnations {
+			changed = r.state.markLeaving(incarnation, now) || changed
+		}
+		if !changed {
+			return
+		}
+		notices := r.state.recentLeaveNotices(now)
+		r.recentLeaveNotices.Store(&notices)
+		r.publish(true)
+		r.role.Changed()
+	})
+}
+
+// leavingIncarnations returns the incarnations whose leave notices to send to peers.
+func (r *Registrar) leavingIncarnations() []bluebelldoor.TargetIncarnation {
+	if notices := r.recentLeaveNotices.Load(); notices != nil {
+		return *notices
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/lender/stream.go
@@ -0,0 +1,143 @@
+package lender
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// stream sends one event per output token. The second number of Token-Count, the
+// maximum of output tokens, is the number of events.
+func (t *Target) stream(w http.ResponseWriter, r *http.Request, source *generation, execution string, behaviour Behaviour) {
+	_, maxTokens, _ := strings.Cut(r.Header.Get("Token-Count"), ",")
+	events, _ := strconv.Atoi(maxTokens)
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	g := &generation{id: r.Header.Get("Attempt-Id"), execution: execution, events: events, sent: after, stop: make(chan struct{})}
+	if source != nil {
+		g.execution = source.execution
+	}
+	t.mu.Lock()
+	t.active[g.id] = g
+	t.mu.Unlock()
+	defer func() {
+		t.mu.Lock()
+		delete(t.active, g.id)
+		t.mu.Unlock()
+	}()
+	w.Header().Set("Content-Type", "text/event-stream")
+	if behaviour == Unframed || behaviour == UnframedCut || behaviour == UnframedEmpty {
+		t.streamUnframed(w, g, behaviour)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+	flusher := w.(http.Flusher)
+	flusher.Flush()
+	if behaviour == Stall {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	if behaviour == Endless {
+		flood(w)
+		panic(http.ErrAbortHandler)
+	}
+	if behaviour == Crash {
+		time.Sleep(eventInterval)
+		t.crash()
+		panic(http.ErrAbortHandler)
+	}
+	for {
+		select {
+		case <-g.stop:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		case <-time.After(eventInterval):
+		}
+		t.mu.Lock()
+		stopped := g.stopped
+		if !stopped {
+			g.sent++
+		}
+		n := g.sent
+		t.mu.Unlock()
+		if stopped {
+			panic(http.ErrAbortHandler)
+		}
+		event := fmt.Sprintf("id: %d\ndata: %s %s\n\n", n, g.execution, strings.Repeat("x", 20))
+		if behaviour == Truncate && n == events/2 {
+			_, _ = io.WriteString(w, event[:len(event)/2])
+			flusher.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, event)
+		flusher.Flush()
+		if n >= events {
+			return
+		}
+	}
+}
+
+// streamUnframed sends a stream that ends with its connection.
+func (t *Target) streamUnframed(w http.ResponseWriter, g *generation, behaviour Behaviour) {
+	conn, buffered, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(buffered)
+	_, _ = buffered.WriteString("Connection: close\r\n\r\n")
+	defer func() { _ = buffered.Flush() }()
+	for n := g.sent + 1; n <= g.events && behaviour != UnframedEmpty; n++ {
+		event := fmt.Sprintf("id: %d\ndata: %s %s\n\n", n, g.execution, strings.Repeat("x", 20))
+		if behaviour == UnframedCut && n == g.sent+2 {
+			_, _ = buffered.WriteString(event[:len(event)/2])
+			return
+		}
+		_, _ = buffered.WriteString(event)
+	}
+}
+
+// floodBytes is the length of an event of a target that is Endless.
+const floodBytes = 64 << 20
+
+// flood writes one event of floodBytes.
+func flood(w io.Writer) {
+	line := []byte("data: " + strings.Repeat("x", 32<<10) + "\n")
+	for sent := 0; sent < floodBytes; sent += len(line) {
+		if _, err := w.Write(line); err != nil {
+			return
+		}
+	}
+}
+
+// downFor is how long a target stays away after a crash.
+const downFor = 300 * time.Millisecond
+
+// crash ends all streams of the target.
+func (t *Target) crash() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if now.Before(t.downUntil) {
+		return
+	}
+	t.crashes, t.downUntil = append(t.crashes, now), now.Add(downFor)
+	for _, g := range t.active {
+		if !g.stopped {
+			g.stopped = true
+			close(g.stop)
+		}
+	}
+}
+
+// Crashes returns when the target crashed.
+func (t *Target) Crashes() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.crashes)
+}
