--- a/process/registrar/book.go
+++ b/process/registrar/book.go
@@ -104,27 +104,8 @@
 	if p.Era > s.position.Era {
 		s.beginEra(now)
 	}
-	records := p.Records
-	if s.restoring {
-		// A removal of the earlier era may come with a record of the new one.
-		records = slices.Clone(records)
-		slices.SortStableFunc(records, func(a, b bluebelldoor.Record) int {
-			return cmp.Or(cmp.Compare(a.Era, b.Era), cmp.Compare(a.Revision, b.Revision))
-		})
-	}
 	taken, dropped := 0, 0
-	present := map[string]bool{}
-	for _, r := range records {
-		present[r.Key] = true
-		if p.Full {
-			// A peer may have held the record since an earlier era.
-			r.Era = p.Era
-		}
-		if held := s.records[r.Key]; !p.Full && held.Era < r.Era && sameRecord(held, r) {
-			// It was written again as it had been, under the same revision. Peers may not
-			// have it yet.
-			s.records[r.Key] = r
-		}
+	for _, r := range s.prepareRecords(p) {
 		before := s.records[r.Key].Position()
 		changed = s.applyRecord(r, now) || changed
 		switch after := s.records[r.Key].Position(); {
@@ -135,26 +116,18 @@
 			taken++
 		}
 	}
+	unseen := p.Unseen
 	if p.Full {
-		for key, held := range s.records {
-			if !present[key] && !held.Position().After(p.Position()) || !present[key] && s.restoring {
-				dropped++
-				changed = s.applyRecord(bluebelldoor.Record{Key: key, Era: p.Era, Revision: p.Revision, Removed: true}, now) || changed
-			}
+		unseen = p.Position()
+		for _, r := range s.missing(p) {
+			dropped++
+			changed = s.applyRecord(r, now) || changed
 		}
 	}
 	if s.restoring {
-		source := "platform"
-		if !p.Full {
-			source = "peer"
-		}
-		s.logEra(p.Position(), source, taken, dropped)
+		s.logEra(p, taken, dropped)
 		s.restoring = false
 	}
-	unseen := p.Unseen
-	if p.Full {
-		unseen = p.Position()
-	}
 	if unseen.After(s.position) {
 		s.addUnseen(span{s.position, unseen})
 	}
@@ -165,6 +138,46 @@
 	return changed
 }
 
+// prepareRecords returns the records of a response in the order in which to apply them, and
+// updates the era of held records that the response shows unchanged.
+func (s *state) prepareRecords(p bluebelldoor.CatalogueReply) []bluebelldoor.Record {
+	records := slices.Clone(p.Records)
+	for i, r := range records {
+		if p.Full {
+			// A peer may have held the record since an earlier era.
+			records[i].Era = p.Era
+			continue
+		}
+		if held := s.records[r.Key]; held.Era < r.Era && sameRecord(held, r) {
+			// It was written again as it had been, under the same revision. Peers may not
+			// have it yet.
+			s.records[r.Key] = r
+		}
+	}
+	if s.restoring {
+		// A removal of the earlier era may come with a record of the new one.
+		slices.SortStableFunc(records, func(a, b bluebelldoor.Record) int {
+			return cmp.Or(cmp.Compare(a.Era, b.Era), cmp.Compare(a.Revision, b.Revision))
+		})
+	}
+	return records
+}
+
+// missing returns removals of the records that are held and not in a full response.
+func (s *state) missing(p bluebelldoor.CatalogueReply) []bluebelldoor.Record {
+	present := map[string]bool{}
+	for _, r := range p.Records {
+		present[r.Key] = true
+	}
+	var out []bluebelldoor.Record
+	for key, held := range s.records {
+		if !present[key] && (s.restoring || !held.Position().After(p.Position())) {
+			out = append(out, bluebelldoor.Record{Key: key, Era: p.Era, Revision: p.Revision, Removed: true})
+		}
+	}
+	return out
+}
+
 // logRegistered logs the targets that a response has added: one line each, or one
 // summary where there are many, as at startup.
 func (s *state) logRegistered() {
--- a/process/registrar/era.go
+++ b/process/registrar/era.go
@@ -85,14 +85,18 @@
 	s.retention.leaving[incarnation] = now + retainFor
 }
 
-// logEra logs the begin of an era, once its records have been applied.
-func (s *state) logEra(position bluebelldoor.Position, source string, replaced, removed int) {
+// logEra logs the begin of an era, once the records of its first response have been applied.
+func (s *state) logEra(p bluebelldoor.CatalogueReply, taken, dropped int) {
+	source := "platform"
+	if !p.Full {
+		source = "peer"
+	}
 	version := uint64(0)
 	if s.routing != nil {
 		version = s.routing.Version()
 	}
-	s.log.Warn("platform returned from an older copy", "oldEra", s.position.Era, "era", position.Era, "oldRevision", s.position.Revision,
-		"revision", position.Revision, "source", source, "taken", replaced, "dropped", removed, "kept", len(s.records)-replaced,
+	s.log.Warn("platform returned from an older copy", "oldEra", s.position.Era, "era", p.Era, "oldRevision", s.position.Revision,
+		"revision", p.Revision, "source", source, "taken", taken, "dropped", dropped, "kept", len(s.records)-taken,
 		"lapsed", s.countLapsed(), "withheld", len(s.retention.withheld), "outOfServiceKept", len(s.retention.outOfService), "version", version)
 }
 
