Split the reads of the platform and the stand-in's streams

No change of behaviour, but for one: a VM that waits for peers after a 410 in the same era also goes on when a peer has told the changes, and not only at a new era.

--- a/process/registrar/history_test.go
+++ b/process/registrar/history_test.go
@@ -205,7 +205,7 @@
 		h.store.mu.Lock()
 		held, value := h.store.records[key], h.truth[key]
 		h.store.mu.Unlock()
-		if string(held.Value) != value && !(value == "" && held.Removed) {
+		if string(held.Value) != value && (value != "" || !held.Removed) {
 			h.put(key, value)
 		}
 	}
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -228,64 +228,83 @@
 	}
 }
 
+// reading is the state of the reads of the platform.
+type reading struct {
+	// connected is set if the last read succeeded.
+	connected bool
+	// full makes the next read return every record.
+	full bool
+	// lost counts the watches that failed for lack of history since one succeeded.
+	lost int
+	// delay is the time before the next read after a failure.
+	delay time.Duration
+}
+
 // readPlatform reads the platform whenever this VM reads for its peers or the
 // evidence from them is stale.
 func (r *Registrar) readPlatform(ctx context.Context) {
-	delay := minRetryDelay
-	connected := false
-	history, lost := true, 0
+	state := reading{delay: minRetryDelay}
 	for ctx.Err() == nil {
 		if age, ok := r.EvidenceAge(); ok && age < r.staleAfter() && !r.role.ReadsForPeers() {
 			sleep(ctx, evidenceCheckInterval)
 			continue
 		}
 		sentAt := r.clock.Now()
-		reply, err := r.fetch(ctx, history)
-		held := r.Position()
-		switch {
-		case err == nil && reply.Era < held.Era:
-			err = errors.Errorf("platform replied from era %d, the VM holds era %d", reply.Era, held.Era)
-		case err == nil && reply.Era > held.Era && !reply.Full:
-			err = errors.Wrapf(bluebelldoor.ErrHistoryLost, "platform is in era %d", reply.Era)
-		}
+		reply, err := r.fetch(ctx, state.full)
 		switch {
 		case err == nil:
-			if !connected {
-				r.log.Info("platform answers", "era", reply.Era, "revision", reply.Revision)
-			}
-			if reply.Era == held.Era && reply.Revision < held.Revision {
-				r.log.Warn("platform's revision went back in one era", "era", reply.Era, "revision", reply.Revision, "heldRevision", held.Revision)
-			}
-			if !reply.Full {
-				lost = 0
-			}
-			connected, history, delay = true, true, minRetryDelay
-			r.do(ctx, func() { r.applyReply(reply, sentAt) })
-			continue
+			r.handleReply(ctx, &state, reply, sentAt)
 		case errors.Is(err, bluebelldoor.ErrHistoryLost):
-			r.log.Info("history lost, reading all", "cause", err.Error(), "era", held.Era, "revision", held.Revision)
-			if lost++; lost > 1 {
-				// The full read did not help: the store's revisions are below the one held.
-				sleep(ctx, r.maxRetryDelay())
-			}
-			r.awaitPeers(ctx, held.Era)
-			history = r.Position().Era > held.Era
-			continue
-		case connected:
-			age, _ := r.EvidenceAge()
-			r.log.Warn("platform lost", "error", err, "ageMs", age.Milliseconds(), "era", held.Era, "revision", held.Revision)
-			connected = false
+			r.handleHistoryLost(ctx, &state, err)
+		default:
+			r.handleReadFailure(ctx, &state, err)
 		}
-		sleep(ctx, delay)
-		delay = min(2*delay, r.maxRetryDelay())
 	}
 }
 
-// awaitPeers waits at random up to maxPeerWait until the records of an era after this one
-// have come from a peer, unless the VM reads the platform on behalf of its peers.
-func (r *Registrar) awaitPeers(ctx context.Context, era uint64) {
+func (r *Registrar) handleReply(ctx context.Context, state *reading, reply bluebelldoor.CatalogueReply, sentAt time.Duration) {
+	held := r.Position()
+	if !state.connected {
+		r.log.Info("platform answers", "era", reply.Era, "revision", reply.Revision)
+	}
+	if reply.Era == held.Era && reply.Revision < held.Revision {
+		r.log.Warn("platform's revision went back in one era", "era", reply.Era, "revision", reply.Revision, "heldRevision", held.Revision)
+	}
+	if !reply.Full {
+		state.lost = 0
+	}
+	state.connected, state.full, state.delay = true, false, minRetryDelay
+	r.do(ctx, func() { r.applyReply(reply, sentAt) })
+}
+
+// handleHistoryLost makes the next read a full one, unless a peer tells the changes first.
+func (r *Registrar) handleHistoryLost(ctx context.Context, state *reading, err error) {
+	held := r.Position()
+	r.log.Info("history lost, reading all", "cause", err.Error(), "era", held.Era, "revision", held.Revision)
+	if state.lost++; state.lost > 1 {
+		// The full read did not help: the store's revisions are below the one held.
+		sleep(ctx, r.maxRetryDelay())
+	}
+	r.awaitPeers(ctx, held)
+	state.full = !r.Position().After(held)
+}
+
+func (r *Registrar) handleReadFailure(ctx context.Context, state *reading, err error) {
+	if state.connected {
+		held := r.Position()
+		age, _ := r.EvidenceAge()
+		r.log.Warn("platform lost", "error", err, "ageMs", age.Milliseconds(), "era", held.Era, "revision", held.Revision)
+		state.connected = false
+	}
+	sleep(ctx, state.delay)
+	state.delay = min(2*state.delay, r.maxRetryDelay())
+}
+
+// awaitPeers waits at random up to maxPeerWait until a peer has told the changes after the
+// held position, unless the VM reads the platform on behalf of its peers.
+func (r *Registrar) awaitPeers(ctx context.Context, held bluebelldoor.Position) {
 	until := r.clock.Now() + rand.N(maxPeerWait)
-	for !r.role.ReadsForPeers() && r.Position().Era == era && r.clock.Now() < until && ctx.Err() == nil {
+	for !r.role.ReadsForPeers() && !r.Position().After(held) && r.clock.Now() < until && ctx.Err() == nil {
 		sleep(ctx, minRetryDelay)
 	}
 }
@@ -311,11 +330,27 @@
 	}
 }
 
-func (r *Registrar) fetch(ctx context.Context, history bool) (bluebelldoor.CatalogueReply, error) {
-	if position := r.Position(); position.Revision > 0 && history {
-		return r.catalogue.Watch(ctx, position, r.watchWait)
+// fetch reads every record, or waits for changes after the position held. Changes of
+// another era are an error.
+func (r *Registrar) fetch(ctx context.Context, full bool) (bluebelldoor.CatalogueReply, error) {
+	position := r.Position()
+	if full || position.Revision == 0 {
+		reply, err := r.catalogue.Read(ctx)
+		return reply, olderEra(reply, position, err)
+	}
+	reply, err := r.catalogue.Watch(ctx, position, r.watchWait)
+	if err == nil && reply.Era > position.Era {
+		return reply, errors.Wrapf(bluebelldoor.ErrHistoryLost, "platform is in era %d", reply.Era)
+	}
+	return reply, olderEra(reply, position, err)
+}
+
+// olderEra returns err, or an error if a reply is from an older era than the position held.
+func olderEra(reply bluebelldoor.CatalogueReply, held bluebelldoor.Position, err error) error {
+	if err == nil && reply.Era < held.Era {
+		return errors.Errorf("platform replied from era %d, the VM holds era %d", reply.Era, held.Era)
 	}
-	return r.catalogue.Read(ctx)
+	return err
 }
 
 func (r *Registrar) applyReply(p bluebelldoor.CatalogueReply, sentAt time.Duration) {
--- a/standin/lender/stream.go
+++ b/standin/lender/stream.go
@@ -34,21 +34,25 @@
 		return
 	}
 	w.WriteHeader(http.StatusOK)
-	flusher := w.(http.Flusher)
-	flusher.Flush()
-	if behaviour == Stall {
+	w.(http.Flusher).Flush()
+	switch behaviour {
+	case Stall:
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
-	}
-	if behaviour == Endless {
+	case Endless:
 		flood(w)
 		panic(http.ErrAbortHandler)
-	}
-	if behaviour == Crash {
+	case Crash:
 		time.Sleep(eventInterval)
 		t.crash()
 		panic(http.ErrAbortHandler)
 	}
+	t.sendEvents(w, r, g, behaviour)
+}
+
+// sendEvents sends the events of a generation until it ends or is stopped.
+func (t *Target) sendEvents(w http.ResponseWriter, r *http.Request, g *generation, behaviour Behaviour) {
+	flusher := w.(http.Flusher)
 	for {
 		select {
 		case <-g.stop:
@@ -68,14 +72,14 @@
 			panic(http.ErrAbortHandler)
 		}
 		event := fmt.Sprintf("id: %d\ndata: %s %s\n\n", n, g.execution, strings.Repeat("x", 20))
-		if behaviour == Truncate && n == events/2 {
+		if behaviour == Truncate && n == g.events/2 {
 			_, _ = io.WriteString(w, event[:len(event)/2])
 			flusher.Flush()
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = io.WriteString(w, event)
 		flusher.Flush()
-		if n >= events {
+		if n >= g.events {
 			return
 		}
 	}
--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -325,15 +325,10 @@
 	}
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != t.ID {
-		w.WriteHeader(http.StatusMisdirectedRequest)
+	if t.misdirected(w, r) {
 		return
 	}
-	t.mu.Lock()
-	t.arrivals = append(t.arrivals, time.Now())
-	down := time.Now().Before(t.downUntil)
-	t.mu.Unlock()
-	if down {
+	if t.recordArrival() {
 		panic(http.ErrAbortHandler)
 	}
 	behaviour, retryAfter := t.nextBehaviour(r)
@@ -380,6 +375,25 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// misdirected responds to a request that is for another target, and reports whether it is.
+func (t *Target) misdirected(w http.ResponseWriter, r *http.Request) bool {
+	expected := r.Header.Get("Expect-Instance")
+	if expected == "" || expected == t.ID {
+		return false
+	}
+	w.WriteHeader(http.StatusMisdirectedRequest)
+	return true
+}
+
+// recordArrival records a request, and reports whether the target is down.
+func (t *Target) recordArrival() (down bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	t.arrivals = append(t.arrivals, now)
+	return now.Before(t.downUntil)
+}
+
 // nextBehaviour returns how the target responds to a request, and the Retry-After
 // if it refuses with Pause.
 func (t *Target) nextBehaviour(r *http.Request) (Behaviour, time.Duration) {
