Stand-in: a target's behaviour may change its record

TestRelayOtherCrashes hung in its case 'leaves' since it was committed: the function that chooses the behaviour was called under the target's mutex, and registers the target.

--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -398,15 +398,16 @@
 // if it refuses with Pause.
 func (t *Target) nextBehaviour(r *http.Request) (Behaviour, time.Duration) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	choose, retryAfter := t.behaviour, t.retryAfter
+	t.mu.Unlock()
 	behaviour := Serve
-	if t.behaviour != nil {
-		behaviour = t.behaviour(r)
+	if choose != nil {
+		behaviour = choose(r)
 	}
 	if behaviour != Pause {
 		return behaviour, 0
 	}
-	return behaviour, t.retryAfter
+	return behaviour, retryAfter
 }
 
 // refuse responds that the request was not executed, with a Retry-After if it is
