--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -48,7 +48,7 @@
 	// platform asks its peers for the full state.
 	fullStateDelay = time.Second
 	// maxPeerWait bounds two waits for peers: after a restore of the platform's store, a VM
-	// that does not read on behalf of its peers waits at random up to it for their records
+	// that does not read on behalf of its peers waits for at least half of it for their records
 	// before it reads everything itself; and a VM that starts takes the store's state as
 	// proven only once a peer has answered, or after this time.
 	maxPeerWait = 700 * time.Millisecond
@@ -300,10 +300,10 @@
 	state.delay = min(2*state.delay, r.maxRetryDelay())
 }
 
-// awaitPeers waits at random up to maxPeerWait until a peer has told the changes after the
+// awaitPeers waits at random between half and all of maxPeerWait until a peer has told the changes after the
 // held position, unless the VM reads the platform on behalf of its peers.
 func (r *Registrar) awaitPeers(ctx context.Context, held bluebelldoor.Position) {
-	until := r.clock.Now() + rand.N(maxPeerWait)
+	until := r.clock.Now() + maxPeerWait/2 + rand.N(maxPeerWait/2)
 	for !r.role.ReadsForPeers() && !r.Position().After(held) && r.clock.Now() < until && ctx.Err() == nil {
 		sleep(ctx, minRetryDelay)
 	}
