--- a/process/runner/parts_test.go
+++ b/process/runner/parts_test.go
@@ -124,6 +124,12 @@
 			}
 			load := f.sendParts(t, c.perSecond, c.deadlyShare, 10*time.Second)
 			f.assertParts(t, targets, load)
+			// The answers to sound requests have proven the first part, so the deadly one is
+			// refused beside any other too.
+			got := f.vms[1].send(t, "POST", streamPath+"x", "alone", map[string]string{
+				"Token-Count": "40,3", "Prompt-Prefix": "cccc0001:79," + deadlyPart + ":50,e1:40", "Deadline-Ms": "9000",
+			})
+			assert.Equal(t, got.status, 422, got.body)
 		})
 	}
 }
