Restore: tests of records written again, of a bad routing, and of old records in a full state

TestRestoreRewritten, a case of TestRestorePeers and TestBadRouting; the first two fail without their rule.

--- a/process/registrar/restore_test.go
+++ b/process/registrar/restore_test.go
@@ -318,8 +318,9 @@
 		"crosses below the position":  {bluebelldoor.RecordDelta{BaseEra: 2, Base: 19, Era: 3, Revision: 9, CrossesEras: true, Records: draining(3, 9)}, false, false},
 		"crosses from an earlier era": {bluebelldoor.RecordDelta{BaseEra: 1, Base: 20, Era: 3, Revision: 9, CrossesEras: true, Records: draining(3, 9)}, false, false},
 		"newer era, by revisions":     {bluebelldoor.RecordDelta{BaseEra: 2, Base: 20, Era: 3, Revision: 30, Records: draining(3, 30)}, false, false},
-		"newer era, all records":      {bluebelldoor.RecordDelta{Era: 3, Revision: 9, Records: draining(3, 9)}, true, true},
-		"a build without eras":        {bluebelldoor.RecordDelta{Base: 20, Revision: 25, Records: draining(0, 25)}, false, false},
+		"all records, one held by the peer since an earlier era": {bluebelldoor.RecordDelta{Era: 2, Revision: 30, Records: draining(1, 25)}, true, true},
+		"newer era, all records":                                 {bluebelldoor.RecordDelta{Era: 3, Revision: 9, Records: draining(3, 9)}, true, true},
+		"a build without eras":                                   {bluebelldoor.RecordDelta{Base: 20, Revision: 25, Records: draining(0, 25)}, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -384,6 +385,29 @@
 	})
 }
 
+// TestRestoreRewritten checks that a VM passes on a record that was written again as it had
+// been, under the same revision: a peer that is in the new era may lack it.
+func TestRestoreRewritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newCatalogue()
+		store.era = 1
+		store.put("t/a", "ready/1")
+		store.put("t/b", "ready/1")
+		v := start(t, store, true)
+		time.Sleep(time.Second)
+		store.fail(errors.New("cut off"))
+		time.Sleep(time.Second)
+		again := bluebelldoor.Record{Key: "t/b", Era: 2, Revision: 3, Value: []byte("ready/1")}
+		v.ApplyDelta(t.Context(), bluebelldoor.RecordDelta{
+			BaseEra: 1, Base: 3, Era: 2, Revision: 4, CrossesEras: true, UnseenEra: 2, Unseen: 2, Records: []bluebelldoor.Record{again}, EvidenceAgeMs: -1,
+		}, 0, false)
+		assert.Equal(t, v.Position(), bluebelldoor.Position{Era: 2, Revision: 4})
+		delta := v.Delta(t.Context(), bluebelldoor.Position{Era: 2, Revision: 2}, nil)
+		assert.Equal(t, delta.Base, uint64(2))
+		assert.DeepEqual(t, delta.Records, []bluebelldoor.Record{again})
+	})
+}
+
 // scriptedCatalogue replies to watches as a test says.
 type scriptedCatalogue struct {
 	*catalogue
@@ -430,3 +454,26 @@
 		})
 	}
 }
+
+// TestBadRouting checks that a routing that can't be decoded leaves the one in force, also on
+// a VM that starts while the platform shows the bad one.
+func TestBadRouting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newCatalogue()
+		store.put("config", "v7")
+		peer := start(t, store, true)
+		synctest.Wait()
+		store.put("config", "vx")
+		time.Sleep(time.Second)
+		assert.Equal(t, peer.View().Routing().Version(), uint64(7))
+		started := start(t, store, false)
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, started.View().Routing() == nil)
+		exchange(t, started, peer)
+		assert.Equal(t, started.View().Routing().Version(), uint64(7))
+		store.put("config", "v8")
+		time.Sleep(time.Second)
+		exchange(t, started, peer)
+		assert.Equal(t, started.View().Routing().Version(), uint64(8))
+	})
+}
