Tests: a routing of many routes on small links (known red)

What callers saw: requests handled by a version that had been replaced over 3 s before (CONFIG), and requests at targets that had said that they leave (DRAIN), in the seconds after a change that added 1,400 routes.

The tests run gossipers and registrars in virtual time over links with a rate and a queue: 8 VMs with 200 Mbit/s and 60 with 10 Mbit/s, 60 small VMs, a hub that is lost, VMs that start; three changes a second apart, four VMs that the store does not answer, targets that leave all the while. Bounds: the users' config_ms and drain_ms (3 s), and 0.75 of revoke_ms.

--- /dev/null
+++ b/process/registrar/bulk_test.go
@@ -0,0 +1,157 @@
+package registrar_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// storms are the changes of the users' incident on fleets of their size, with and without
+// large VMs.
+var storms = map[string]storm{
+	"large and small VMs": {dataCentres: 4, large: 8, small: 60, changes: 3, routes: 1400, turnedAway: 4, drainEvery: 200 * time.Millisecond},
+	"small VMs":           {dataCentres: 4, small: 60, changes: 3, routes: 1400, turnedAway: 4, drainEvery: 200 * time.Millisecond},
+	"a hub is lost":       {dataCentres: 4, small: 60, changes: 3, routes: 1400, loseHub: true, drainEvery: 200 * time.Millisecond},
+	"VMs start":           {dataCentres: 4, large: 8, small: 60, changes: 3, routes: 1400, join: 6, drainEvery: 200 * time.Millisecond},
+}
+
+const (
+	// updateWithin and leavingWithin are the users' bounds on this size of fleet.
+	updateWithin  = 3 * time.Second
+	leavingWithin = 3 * time.Second
+	// keyEvidenceWithin is how old the evidence of API keys may become.
+	keyEvidenceWithin = 3750 * time.Millisecond
+)
+
+// playStorms plays each storm and logs what the VMs sent.
+func playStorms(t *testing.T, cases map[string]storm, newWatch func(t *testing.T, s storm) func(f *fleet, since time.Duration)) {
+	t.Helper()
+	for name, s := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := s.play(t, newWatch(t, s))
+				logBytes(t, f, s)
+			})
+		})
+	}
+}
+
+func logBytes(t *testing.T, f *fleet, s storm) {
+	t.Helper()
+	size := len(routingText(2, s.routes))
+	sum, mostSent, mostInSecond, mostReceived := 0, 0, 0, 0
+	for _, v := range f.vms {
+		sent, inSecond := v.up.total()
+		received, _ := v.down.total()
+		sum, mostSent, mostInSecond, mostReceived = sum+sent, max(mostSent, sent), max(mostInSecond, inSecond), max(mostReceived, received)
+	}
+	t.Logf("a text of %d routes is %d bytes; all VMs sent %d, one VM %d at most, %d in a second at most; one received %d at most",
+		s.routes, size, sum, mostSent, mostInSecond, mostReceived)
+}
+
+// settled returns the VMs that have run for a time.
+func settled(f *fleet, d time.Duration) []*fleetVM {
+	var out []*fleetVM
+	for _, v := range f.all() {
+		if time.Since(v.startedAt) >= d {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// TestBulkConfig guards against a VM that still uses an old routing updateWithin after a
+// newer one of many routes was published: bulk data did not fit into the time of an exchange
+// and was sent again and again.
+func TestBulkConfig(t *testing.T) {
+	playStorms(t, storms, func(t *testing.T, s storm) func(*fleet, time.Duration) {
+		late := map[string]bool{}
+		return func(f *fleet, since time.Duration) {
+			due := min(s.changes, int((since-updateWithin)/time.Second)+1)
+			if since < updateWithin || due < 1 {
+				return
+			}
+			for _, v := range settled(f, updateWithin) {
+				if r := v.View().Routing(); !late[v.name] && (r == nil || r.Version() < uint64(due+1)) {
+					late[v.name] = true
+					t.Errorf("%s: version %d is not in force %s after the first change", v.name, due+1, since)
+				}
+			}
+		}
+	})
+}
+
+// TestBulkDrain guards against a VM that does not know that a target leaves, leavingWithin
+// after the target has said so, because the news waits behind bulk data.
+func TestBulkDrain(t *testing.T) {
+	playStorms(t, storms, func(t *testing.T, s storm) func(*fleet, time.Duration) {
+		late := map[string]bool{}
+		return func(f *fleet, since time.Duration) {
+			due := min(stormTargets, int((since-leavingWithin)/s.drainEvery))
+			for _, v := range settled(f, leavingWithin) {
+				for i := range max(0, due) {
+					if target := v.View().Target(fmt.Sprint(i)); !late[v.name] && target != nil && !target.Leaving {
+						late[v.name] = true
+						t.Errorf("%s: target %d is open %s after it said that it leaves", v.name, i, since-time.Duration(i)*s.drainEvery)
+					}
+				}
+			}
+		}
+	})
+}
+
+// TestBulkLiveness guards against members that look silent, and evidence that grows old,
+// while bulk data is on its way.
+func TestBulkLiveness(t *testing.T) {
+	playStorms(t, storms, func(t *testing.T, s storm) func(*fleet, time.Duration) {
+		silent, old := map[string]bool{}, map[string]bool{}
+		return func(f *fleet, since time.Duration) {
+			running := settled(f, updateWithin)
+			for _, v := range running {
+				if age, ok := v.EvidenceAge(); !old[v.name] && (!ok || age > keyEvidenceWithin) {
+					old[v.name] = true
+					t.Errorf("%s: its evidence is %s old, %s after the first change", v.name, age, since)
+				}
+				if !v.gossip.IsHub() {
+					continue
+				}
+				alive := map[string]bool{}
+				for _, m := range v.gossip.Alive() {
+					alive[m.Name] = true
+				}
+				for _, other := range running {
+					if !alive[other.name] && !silent[other.name] {
+						silent[other.name] = true
+						t.Errorf("%s takes %s for silent %s after the first change", v.name, other.name, since)
+					}
+				}
+			}
+		}
+	})
+}
+
+// TestBulkCalm checks the same fleets without changes of many routes, so that the storms
+// alone make the difference.
+func TestBulkCalm(t *testing.T) {
+	calm := map[string]storm{}
+	for name, s := range storms {
+		s.changes = 0
+		calm[name] = s
+	}
+	playStorms(t, calm, func(t *testing.T, s storm) func(*fleet, time.Duration) {
+		return func(f *fleet, since time.Duration) {
+			due := min(stormTargets, int((since-leavingWithin)/s.drainEvery))
+			for _, v := range settled(f, leavingWithin) {
+				age, ok := v.EvidenceAge()
+				assert.Check(t, ok && age <= keyEvidenceWithin, "%s: its evidence is %s old", v.name, age)
+				for i := range max(0, due) {
+					target := v.View().Target(fmt.Sprint(i))
+					assert.Check(t, target == nil || target.Leaving, "%s: target %d is open %s after it said that it leaves", v.name, i, since-time.Duration(i)*s.drainEvery)
+				}
+			}
+		}
+	})
+}
--- a/process/registrar/catalogue_test.go
+++ b/process/registrar/catalogue_test.go
@@ -29,7 +29,7 @@
 }
 
 // catalogue is a fake platform. The value of a record determines its kind: "v7" is
-// routing of version 7, "ready", "draining" or "ready/2" a target (started at 2), and "out" a
+// routing of version 7, with routes after a line break, "ready", "draining" or "ready/2" a target (started at 2), and "out" a
 // data centre that is out of service.
 type catalogue struct {
 	mu       sync.Mutex
@@ -127,7 +127,8 @@
 		out.DataCentre = strings.TrimPrefix(r.Key, "out/")
 	case r.Removed:
 	case strings.HasPrefix(value, "v"):
-		version, err := strconv.ParseUint(value[1:], 10, 64)
+		text, _, _ := strings.Cut(value[1:], "\n")
+		version, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
 			out.Err = err
 			break
