A VM that knows that its routing was replaced too long ago refuses requests

Cause: a VM that had heard of a newer revision, and could not get it, served known routes under the old version without limit, counted as ready, and was named by the directory. Keys and unknown routes were judged by evidence of the whole view.

Unknown routes and keys get 503 at once, for the newer routing may hold them. A VM that hears of nothing newer, as when the store is down, serves as before. If no peer sends the value within a second, the VM reads everything from the store.

TestBehind fails without the rule (a known route is served, an unknown one is a 404); TestRoutingEvidence and TestMissingValueIsRead cover the evidence and the last resort.

--- a/process/registrar/bulk_test.go
+++ b/process/registrar/bulk_test.go
@@ -1,12 +1,16 @@
 package registrar_test
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"bluebelldoor"
+	"bluebelldoor/process/registrar"
 )
 
 // storms are the changes of the users' incident on fleets of their size, with and without
@@ -155,3 +159,87 @@
 		}
 	})
 }
+
+// keeper is a ValueKeeper to which nothing comes.
+type keeper struct{ held map[string][]byte }
+
+func (k keeper) Hold(value []byte) bluebelldoor.ValueReference {
+	sum := sha256.Sum256(value)
+	k.held[string(sum[:])] = value
+	return bluebelldoor.ValueReference{Digest: sum[:], Bytes: len(value)}
+}
+func (k keeper) Value(digest []byte) []byte           { return k.held[string(digest)] }
+func (k keeper) Want(_ []bluebelldoor.ValueReference) {}
+
+// TestRoutingEvidence guards against keys that count as confirmed although the VM knows that
+// the routing that holds them has been replaced: targets and routing have evidence of their
+// own.
+func TestRoutingEvidence(t *testing.T) {
+	// Evidence dates from the start of one watch and is renewed at the end of the next.
+	const watchWait = 700 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		store := newCatalogue()
+		store.put("config", routingText(1, 100))
+		store.put("t/x", "ready/1")
+		reader, readers := start(t, store, true, registrar.WithValues(keeper{map[string][]byte{}})), map[string][]byte{}
+		link := &linkedCatalogue{Catalogue: store}
+		v := start(t, link, false, registrar.WithValues(keeper{readers}))
+		time.Sleep(time.Second)
+		link.cut.Store(true)
+		ask := func() bluebelldoor.RecordDelta {
+			request := v.Delta(t.Context(), reader.Position(), true, nil)
+			sentAt := v.clock.Now()
+			reply := reader.Delta(t.Context(), request.Position(), true, &request)
+			v.ApplyDelta(t.Context(), reply, sentAt, true)
+			return reply
+		}
+		ask()
+		assert.Assert(t, !v.IsBehind())
+		store.put("config", routingText(2, 200))
+		store.put("t/x", "draining/1")
+		synctest.Wait()
+		reply := ask()
+		for range 10 {
+			time.Sleep(250 * time.Millisecond)
+			ask()
+		}
+		assert.Assert(t, v.IsBehind())
+		assert.Equal(t, v.View().Routing().Version(), uint64(1))
+		assert.Assert(t, !v.open("x"), "the target leaves whatever becomes of the routing")
+		age, _ := v.EvidenceAge()
+		assert.Assert(t, age < 2*watchWait+100*time.Millisecond, "evidence of the targets is %s old", age)
+		age, _ = v.RoutingEvidenceAge()
+		assert.Assert(t, age >= 2500*time.Millisecond, "evidence of the routing is %s old", age)
+		for _, r := range reply.Records {
+			if r.Reference != nil {
+				v.Deliver(t.Context(), *r.Reference, []byte(routingText(2, 200)))
+			}
+		}
+		assert.Assert(t, !v.IsBehind())
+		assert.Equal(t, v.View().Routing().Version(), uint64(2))
+		age, _ = v.RoutingEvidenceAge()
+		assert.Assert(t, age < 2*watchWait+100*time.Millisecond, "evidence of the routing is %s old", age)
+	})
+}
+
+// TestMissingValueIsRead checks that a VM reads everything from the platform if no peer sends
+// it a value.
+func TestMissingValueIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newCatalogue()
+		store.put("config", routingText(1, 100))
+		reader := start(t, store, true, registrar.WithValues(keeper{map[string][]byte{}}))
+		v := start(t, store, false, registrar.WithValues(keeper{map[string][]byte{}}))
+		time.Sleep(time.Second)
+		store.put("config", routingText(2, 200))
+		synctest.Wait()
+		for range 12 {
+			request := v.Delta(t.Context(), reader.Position(), true, nil)
+			sentAt := v.clock.Now()
+			v.ApplyDelta(t.Context(), reader.Delta(t.Context(), request.Position(), true, &request), sentAt, true)
+			time.Sleep(250 * time.Millisecond)
+		}
+		assert.Assert(t, !v.IsBehind())
+		assert.Equal(t, v.View().Routing().Version(), uint64(2))
+	})
+}
--- a/process/runner/directory.go
+++ b/process/runner/directory.go
@@ -31,7 +31,14 @@
 
 // serving reports whether new callers should be sent to the VM.
 func (r *Relay) serving() bool {
-	return r.lifecycle.MustState() == Serving && r.registrar.View().Routing() != nil
+	return r.lifecycle.MustState() == Serving && r.registrar.View().Routing() != nil && !r.refusesAll()
+}
+
+// refusesAll reports whether the VM refuses requests because a newer routing was published
+// too long ago and has not arrived.
+func (r *Relay) refusesAll() bool {
+	age, _ := r.registrar.RoutingEvidenceAge()
+	return r.registrar.IsBehind() && age > relayerSettings(r.settings).MaxViewAge
 }
 
 // ready is the result of the platform's readiness check. A VM that can't read
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -132,7 +132,8 @@
 	}, adapters.Clock, log.Named("limiter"))
 	r.relayer = relayer.New(relayerSettings(settings), relayer.Sources{
 		View:             r.registrar.View,
-		EvidenceAge:      r.registrar.EvidenceAge,
+		EvidenceAge:      r.registrar.RoutingEvidenceAge,
+		IsBehind:         r.registrar.IsBehind,
 		MarkLeaving:      func(t *bluebelldoor.Instance) { r.registrar.MarkLeaving(context.Background(), t) },
 		Share:            r.gossiper.Share,
 		GenerationPlaced: r.gossiper.Trigger,
--- a/request/relayer/admit.go
+++ b/request/relayer/admit.go
@@ -20,6 +20,9 @@
 	if routing == nil || !known {
 		return bluebelldoor.NewRefusal(bluebelldoor.ViewStale, "no routing has been read yet").WithRetryAfter(defaultRetryAfter)
 	}
+	if age > j.settings.Load().MaxViewAge && j.isBehind() {
+		return bluebelldoor.NewRefusal(bluebelldoor.ViewStale, "a newer routing has not arrived yet, the one in force was last confirmed "+age.Round(time.Millisecond).String()+" ago").WithRetryAfter(defaultRetryAfter)
+	}
 	j.route = routing.Route(j.request.Host, j.request.Path)
 	if j.route == nil {
 		return j.refusalUnknown(age, bluebelldoor.UnknownRoute, "no route has this host and path")
@@ -50,10 +53,14 @@
 	return j.checkParts()
 }
 
+// isBehind reports whether a newer routing is known that has not arrived.
+func (r *Relayer) isBehind() bool { return r.sources.IsBehind != nil && r.sources.IsBehind() }
+
 // refusalUnknown returns the refusal for a route or key that does not exist. Where
-// the view is too old to rule out that it was added since, the code is ViewStale.
+// the view is too old to rule out that it was added since, or a newer routing is known, the
+// code is ViewStale.
 func (j *job) refusalUnknown(age time.Duration, code bluebelldoor.Code, detail string) *bluebelldoor.Refusal {
-	if age > j.settings.Load().MaxViewAge {
+	if age > j.settings.Load().MaxViewAge || j.isBehind() {
 		return bluebelldoor.NewRefusal(bluebelldoor.ViewStale, detail+" in a view that is "+age.Round(time.Millisecond).String()+" old").WithRetryAfter(defaultRetryAfter)
 	}
 	return bluebelldoor.NewRefusal(code, detail)
--- a/request/relayer/admit_test.go
+++ b/request/relayer/admit_test.go
@@ -41,6 +41,47 @@
 	}
 }
 
+// TestBehind guards against a VM that goes on serving under a routing although it knows that
+// a newer one was published longer ago than a change may take.
+func TestBehind(t *testing.T) {
+	routing := bluebelldoor.RoutingSpec{Version: 4, Routes: []bluebelldoor.RouteSpec{{Name: "r", Host: "h", Prefix: "/", Shares: []bluebelldoor.ServiceShare{{Service: "s", Weight: 1}}}}}
+	for name, c := range map[string]struct {
+		behind bool
+		age    time.Duration
+		host   string
+		want   bluebelldoor.Code
+	}{
+		"in force":                {false, time.Minute, "h", bluebelldoor.OK},
+		"behind for a short time": {true, time.Second, "h", bluebelldoor.OK},
+		"behind for too long":     {true, time.Second + 1, "h", bluebelldoor.ViewStale},
+		"unknown route":           {false, time.Second, "x", bluebelldoor.UnknownRoute},
+		"unknown route, behind":   {true, 0, "x", bluebelldoor.ViewStale},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clock := testClock{time.Now()}
+				reg := registrar.New(routingCatalogue{fakeCatalogue{"x"}, routing}, clock, registrar.Role{
+					ReadsForPeers: func() bool { return true }, Standby: func() bool { return false }, Changed: func() {},
+				}, hclog.NewNullLogger())
+				t.Cleanup(reg.Start())
+				synctest.Wait()
+				r := New(Settings{MaxViewAge: time.Second}, Sources{
+					View: reg.View, EvidenceAge: func() (time.Duration, bool) { return c.age, true }, IsBehind: func() bool { return c.behind },
+				}, Dependencies{}, clock, hclog.NewNullLogger())
+				j := &job{Relayer: r, request: &bluebelldoor.RelayRequest{Host: c.host, Path: "/a"}}
+				refusal := j.admit()
+				if c.want == bluebelldoor.OK {
+					assert.Assert(t, refusal == nil, "%v", refusal)
+					return
+				}
+				assert.Assert(t, refusal != nil)
+				assert.Equal(t, refusal.Code(), c.want)
+				assert.Equal(t, refusal.RetryAfter() > 0, c.want == bluebelldoor.ViewStale)
+			})
+		})
+	}
+}
+
 // TestPermitClosed checks that no byte is sent to a target that was closed after
 // it had been chosen.
 func TestPermitClosed(t *testing.T) {
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -45,9 +45,12 @@
 // rest of the process.
 type Sources struct {
 	View func() *registrar.View
-	// EvidenceAge returns the age of the evidence that the view is current, and
+	// EvidenceAge returns the age of the evidence that the routing is current, and
 	// whether there is any.
 	EvidenceAge func() (time.Duration, bool)
+	// IsBehind reports whether a newer routing is known that has not arrived. If it is nil,
+	// none ever is.
+	IsBehind func() bool
 	// MarkLeaving is called when a target announces in a response that it is
 	// leaving.
 	MarkLeaving func(t *bluebelldoor.Instance)
