--- a/standin/lender/stream.go
+++ b/standin/lender/stream.go
@@ -139,6 +139,13 @@
 	}
 }
 
+// hasCrashedSince reports whether the target has crashed since a time.
+func (t *Target) hasCrashedSince(at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.crashes) > 0 && t.crashes[len(t.crashes)-1].After(at)
+}
+
 // Crashes returns when the target crashed.
 func (t *Target) Crashes() []time.Time {
 	t.mu.Lock()
--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -36,6 +36,7 @@
 	Endless        Behaviour = "endless"       // begin a stream and send one event of floodBytes
 	Stall          Behaviour = "stall"         // begin a stream and send no event
 	Crash          Behaviour = "crash"         // begin a stream, then end every request and stay away for a while
+	CrashSilently  Behaviour = "crashSilently" // the same, without an answer to this request
 )
 
 // Execution is one request that a target executed.
@@ -336,7 +337,7 @@
 		refuse(w, retryAfter)
 		return
 	}
-	source := t.claimCopy(r)
+	began, source := time.Now(), t.claimCopy(r)
 	if r.Header.Get("Kv-From") != "" && source == nil {
 		refuse(w, 0)
 		return
@@ -352,6 +353,9 @@
 	switch behaviour {
 	case Drop:
 		panic(http.ErrAbortHandler)
+	case CrashSilently:
+		t.crash()
+		panic(http.ErrAbortHandler)
 	case Hang:
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
@@ -367,6 +371,9 @@
 		t.stream(w, r, source, execution, behaviour)
 		return
 	}
+	if t.hasCrashedSince(began) {
+		panic(http.ErrAbortHandler)
+	}
 	text := "answer to " + id
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	if behaviour == Truncate {
