Keep a request away from targets that it has crashed

Cause: the quarantiner knew shared parts of prompts only. A request without them, as all of application runners are, accused nothing; one whose parts sound requests have was cleared by them; and a connection that ended without an answer was no evidence.

Change: the request itself is one more suspect of the same mechanism. It is identified by an HMAC of account, method, host, path, query, prompt and body, keyed by the fleet's secret and the caller's API key; no body is kept, sent or logged. A target that ends takes all its requests with it, and each of them is accused; an answer to the same request in the five seconds before, or later, clears it, on any VM. A connection that ends without an answer accuses the request only, not the parts. 512 crashes are remembered (128 before), by an index, and those that are accused more than once are kept and sent first.

TestOneOfMany: 24 sound requests end with each target, popular ones among them; 30 seeds, none refused.

--- a/process/quarantiner/doc.go
+++ b/process/quarantiner/doc.go
@@ -1,7 +1,7 @@
-// Package quarantiner keeps requests away from engines that carry a part of a prompt that
-// crashes engines. A part is suspected if an engine crashes as it begins to answer a request
-// with it, and cleared by the first event of any answer to a request with it. What VMs
-// observe spreads with the gossip.
+// Package quarantiner keeps requests away from targets that they would crash. What a crash
+// accuses are the shared parts of the request's prompt and the request itself, by a digest.
+// They are cleared by any answer to a request with them: for a stream, its first event. What
+// VMs observe spreads with the gossip.
 //
-// It does not send requests, and does not judge engines.
+// It does not send requests, does not judge targets, and does not know what a request holds.
 package quarantiner
--- a/process/quarantiner/gossip.go
+++ b/process/quarantiner/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -20,7 +21,7 @@
 
 // digest returns the contribution of a crash to the digest of all. Whether it has been
 // cleared counts, ages do not, as they differ between VMs. The caller holds q.mu.
-func (q *Quarantiner) digest(c crash) uint64 {
+func (q *Quarantiner) digest(c *crash) uint64 {
 	text := strings.Join(append([]string{c.service, c.target, c.account}, c.parts...), "\x00")
 	for _, part := range c.parts {
 		if !q.counts(c, part) {
@@ -31,7 +32,7 @@
 }
 
 // Crashes returns the digest of the crashes that the VM knows, and the crashes to send to a
-// peer that has the given digest, the newest first: none if it knows the same.
+// peer that has the given digest, the most important first: none if it knows the same.
 func (q *Quarantiner) Crashes(digest uint64) (uint64, []bluebelldoor.PromptCrash) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -40,22 +41,44 @@
 	}
 	now := q.clock.Now()
 	q.prune(now)
-	own := uint64(0)
-	for _, c := range q.crashes {
-		own += q.digest(c)
+	if !q.digestValid {
+		q.digestOfAll, q.digestValid = 0, true
+		for _, c := range q.crashes {
+			q.digestOfAll += q.digest(c)
+		}
 	}
-	if digest == own {
-		return own, nil
+	if digest == q.digestOfAll {
+		return digest, nil
 	}
-	out := make([]bluebelldoor.PromptCrash, 0, len(q.crashes))
-	for _, c := range q.crashes {
+	var out []bluebelldoor.PromptCrash
+	for _, c := range q.toSend() {
 		out = append(out, q.message(c, now))
 	}
-	slices.SortFunc(out, func(a, b bluebelldoor.PromptCrash) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
-	return own, out[:min(len(out), maxSentCrashes)]
+	return q.digestOfAll, out
+}
+
+// toSend returns at most maxSentCrashes crashes: those of parts that several accuse, then
+// the newest, then others at random, lest a peer that has started since never learns of
+// them. The caller holds q.mu.
+func (q *Quarantiner) toSend() []*crash {
+	const atRandom = maxSentCrashes / 4
+	accusers := map[*crash]int{}
+	for _, crashes := range q.byPart {
+		for _, c := range crashes {
+			accusers[c] = max(accusers[c], min(len(crashes), 2))
+		}
+	}
+	out := slices.Clone(q.crashes)
+	slices.SortFunc(out, func(a, b *crash) int { return cmp.Or(accusers[b]-accusers[a], cmp.Compare(b.at, a.at)) })
+	if len(out) <= maxSentCrashes {
+		return out
+	}
+	rest := out[maxSentCrashes-atRandom:]
+	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	return out[:maxSentCrashes]
 }
 
-func (q *Quarantiner) message(c crash, now time.Duration) bluebelldoor.PromptCrash {
+func (q *Quarantiner) message(c *crash, now time.Duration) bluebelldoor.PromptCrash {
 	out := bluebelldoor.PromptCrash{Service: c.service, Target: c.target, Account: c.account, AgeMs: (now - c.at).Milliseconds()}
 	for _, part := range c.parts {
 		age := int64(-1)
@@ -94,7 +117,7 @@
 
 // merge applies one crash. The caller holds q.mu.
 func (q *Quarantiner) merge(peer string, in bluebelldoor.PromptCrash, now time.Duration) {
-	c := crash{service: in.Service, target: in.Target, account: in.Account, at: now - time.Duration(in.AgeMs)*time.Millisecond}
+	c := &crash{service: in.Service, target: in.Target, account: in.Account, at: now - time.Duration(in.AgeMs)*time.Millisecond}
 	for _, part := range in.Parts {
 		c.parts = append(c.parts, part.ID)
 	}
--- a/process/quarantiner/quarantiner.go
+++ b/process/quarantiner/quarantiner.go
@@ -1,9 +1,11 @@
 package quarantiner
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -27,11 +29,13 @@
 	// whose parts have all been proven sound.
 	forgetAfter        = time.Hour
 	forgetClearedAfter = 30 * time.Second
-	// maxCrashes bounds the crashes that are remembered, and maxParts the parts of each.
-	maxCrashes = 128
+	// maxCrashes bounds the crashes that are remembered, and maxParts the parts of each. A
+	// target that ends takes all its requests with it, and each of them is accused.
+	maxCrashes = 512
 	maxParts   = 32
-	// maxProofs bounds the sound parts that are remembered before any of them is accused.
-	maxProofs = 4096
+	// maxProofs bounds the sound parts and requests that are remembered before any of them is
+	// accused.
+	maxProofs = 8192
 )
 
 // key identifies a part of the prompts of one service.
@@ -49,7 +53,7 @@
 }
 
 // isSameEvent reports whether two requests were ended by one crash.
-func (c crash) isSameEvent(other crash) bool {
+func (c *crash) isSameEvent(other *crash) bool {
 	return c.service == other.service && c.target == other.target && (c.at-other.at).Abs() < sameCrashWithin
 }
 
@@ -69,7 +73,14 @@
 	changed func()
 
 	mu      sync.Mutex
-	crashes []crash
+	crashes []*crash
+	// byPart are the crashes that accuse a part, the oldest first.
+	byPart map[key][]*crash
+	// digestOfAll is the sum of the digests of all crashes, if digestValid is set.
+	digestOfAll uint64
+	digestValid bool
+	// active is the number of crashes.
+	active atomic.Int64
 	// soundAt is when an answer with a part of one of the crashes last had its first event.
 	soundAt map[key]time.Duration
 	proofs  *proofs
@@ -82,7 +93,7 @@
 func New(clock bluebelldoor.Clock, changed func(), log hclog.Logger) *Quarantiner {
 	return &Quarantiner{
 		clock: clock, log: log, changed: changed,
-		soundAt: map[key]time.Duration{}, proofs: newProofs(maxProofs), quarantined: map[string]bool{},
+		byPart: map[key][]*crash{}, soundAt: map[key]time.Duration{}, proofs: newProofs(maxProofs), quarantined: map[string]bool{},
 	}
 }
 
@@ -94,7 +105,7 @@
 	}
 	q.mu.Lock()
 	now := q.clock.Now()
-	q.addCrash(crash{service, target.ID, account, parts[:min(len(parts), maxParts)], now}, now, "")
+	q.addCrash(&crash{service, target.ID, account, parts[:min(len(parts), maxParts)], now}, now, "")
 	q.mu.Unlock()
 	q.changed()
 }
@@ -136,6 +147,10 @@
 	return Verdict{}, false
 }
 
+// HasSuspects reports whether any part is accused. If none is, sound requests need not be
+// told apart.
+func (q *Quarantiner) HasSuspects() bool { return q.active.Load() > 0 }
+
 // Count returns the number of sets of parts that are quarantined.
 func (q *Quarantiner) Count() int {
 	q.mu.Lock()
@@ -145,7 +160,7 @@
 
 // counts reports whether a crash speaks against one of its parts: no proof of it was newer,
 // or held when the crash came. The caller holds q.mu.
-func (q *Quarantiner) counts(c crash, part string) bool {
+func (q *Quarantiner) counts(c *crash, part string) bool {
 	at, ok := q.soundAt[key{c.service, part}]
 	return !ok || c.at > at+proofHolds
 }
@@ -155,10 +170,10 @@
 // several accounts count for all; those of one account for that account only, lest it has
 // the parts of others refused. The caller holds q.mu.
 func (q *Quarantiner) evidence(k key, account string) (n int, last time.Duration, causes []string) {
-	var against []crash
+	var against []*crash
 	accounts := map[string]bool{}
-	for _, c := range q.crashes {
-		if c.service == k.service && slices.Contains(c.parts, k.part) && q.counts(c, k.part) {
+	for _, c := range q.byPart[k] {
+		if q.counts(c, k.part) {
 			against = append(against, c)
 			accounts[c.account] = true
 		}
@@ -184,11 +199,15 @@
 // q.mu.
 func (q *Quarantiner) quarantinedSets(now time.Duration) map[string]bool {
 	out := map[string]bool{}
-	for _, c := range q.crashes {
-		for _, part := range c.parts {
-			if n, last, causes := q.evidence(key{c.service, part}, c.account); n >= minCrashes && now-last < quarantineFor {
+	for k, crashes := range q.byPart {
+		if len(crashes) < minCrashes {
+			continue
+		}
+		for _, c := range crashes {
+			if n, last, causes := q.evidence(k, c.account); n >= minCrashes && now-last < quarantineFor {
 				slices.Sort(causes)
 				out[c.service+"/"+strings.Join(slices.Compact(causes), ",")] = true
+				break
 			}
 		}
 	}
@@ -214,12 +233,12 @@
 
 // addCrash records a crash, unless it is known, and reports whether it does. The caller
 // holds q.mu.
-func (q *Quarantiner) addCrash(c crash, now time.Duration, peer string) {
+func (q *Quarantiner) addCrash(c *crash, now time.Duration, peer string) {
 	q.prune(now)
-	known := func(other crash) bool {
+	known := func(other *crash) bool {
 		return c.isSameEvent(other) && c.account == other.account && slices.Equal(c.parts, other.parts)
 	}
-	if slices.ContainsFunc(q.crashes, known) || len(q.crashes) >= maxCrashes && !q.evict(now) {
+	if slices.ContainsFunc(q.byPart[key{c.service, c.parts[0]}], known) || len(q.crashes) >= maxCrashes && !q.evict(now) {
 		return
 	}
 	for _, part := range c.parts {
@@ -229,6 +248,12 @@
 		}
 	}
 	q.crashes = append(q.crashes, c)
+	for _, part := range c.parts {
+		k := key{c.service, part}
+		q.byPart[k] = append(q.byPart[k], c)
+	}
+	q.digestValid = false
+	q.active.Store(int64(len(q.crashes)))
 	q.log.Info("engine crashed before the first event", "service", c.service, "target", c.target, "account", c.account,
 		"parts", strings.Join(c.parts, ","), "ageMs", (now - c.at).Milliseconds(), "known", len(q.crashes), "peer", peer)
 	q.logChanges(now)
@@ -238,12 +263,12 @@
 func (q *Quarantiner) clear(k key, at time.Duration) {
 	known, accused := q.soundAt[k]
 	if !accused {
-		accused = slices.ContainsFunc(q.crashes, func(c crash) bool { return c.service == k.service && slices.Contains(c.parts, k.part) })
+		accused = len(q.byPart[k]) > 0
 	}
 	if !accused || at <= known {
 		return
 	}
-	q.soundAt[k] = at
+	q.soundAt[k], q.digestValid = at, false
 	if len(q.quarantined) > 0 {
 		q.logChanges(q.clock.Now())
 	}
@@ -251,48 +276,56 @@
 
 // isCleared reports whether a crash speaks against none of its parts any more. The caller
 // holds q.mu.
-func (q *Quarantiner) isCleared(c crash) bool {
+func (q *Quarantiner) isCleared(c *crash) bool {
 	return !slices.ContainsFunc(c.parts, func(part string) bool { return q.counts(c, part) })
 }
 
 // prune forgets old crashes. The caller holds q.mu.
 func (q *Quarantiner) prune(now time.Duration) {
-	before := len(q.crashes)
-	q.crashes = slices.DeleteFunc(q.crashes, func(c crash) bool {
-		return now-c.at > forgetAfter || now-c.at > forgetClearedAfter && q.isCleared(c)
-	})
-	if len(q.crashes) < before {
-		q.forgetProofs()
-	}
+	q.forget(func(c *crash) bool { return now-c.at > forgetAfter || now-c.at > forgetClearedAfter && q.isCleared(c) })
 }
 
-// forgetProofs forgets the proofs of parts that no remembered crash accuses. The caller
-// holds q.mu.
-func (q *Quarantiner) forgetProofs() {
-	accused := map[key]bool{}
+// forget forgets the crashes of which old is true, and the proofs of parts that no other
+// crash accuses. The caller holds q.mu.
+func (q *Quarantiner) forget(old func(*crash) bool) {
+	if !slices.ContainsFunc(q.crashes, old) {
+		return
+	}
+	q.crashes = slices.DeleteFunc(q.crashes, old)
+	q.byPart = map[key][]*crash{}
 	for _, c := range q.crashes {
 		for _, part := range c.parts {
-			accused[key{c.service, part}] = true
-		}
-	}
-	for k := range q.soundAt {
-		if !accused[k] {
-			delete(q.soundAt, k)
+			k := key{c.service, part}
+			q.byPart[k] = append(q.byPart[k], c)
 		}
 	}
+	maps.DeleteFunc(q.soundAt, func(k key, _ time.Duration) bool { return len(q.byPart[k]) == 0 })
+	q.digestValid = false
+	q.active.Store(int64(len(q.crashes)))
 }
 
-// evict forgets the oldest crash that contributes to no quarantine, and reports whether
-// there was one. The caller holds q.mu.
+// evict forgets an eighth of the crashes, and reports whether there were any to forget: the
+// oldest of those whose parts no other crash accuses, or else of those that contribute to no
+// quarantine. The caller holds q.mu.
 func (q *Quarantiner) evict(now time.Duration) bool {
-	for i, c := range q.crashes {
-		contributes := slices.ContainsFunc(c.parts, func(part string) bool {
+	single := func(c *crash) bool {
+		return !slices.ContainsFunc(c.parts, func(part string) bool { return len(q.byPart[key{c.service, part}]) > 1 })
+	}
+	idle := func(c *crash) bool {
+		return !slices.ContainsFunc(c.parts, func(part string) bool {
 			n, last, _ := q.evidence(key{c.service, part}, c.account)
 			return n >= minCrashes && now-last < quarantineFor && q.counts(c, part)
 		})
-		if !contributes {
-			q.crashes = slices.Delete(q.crashes, i, i+1)
-			q.forgetProofs()
+	}
+	for _, mayForget := range []func(*crash) bool{single, idle} {
+		chosen := map[*crash]bool{}
+		for _, c := range q.crashes {
+			if len(chosen) < maxCrashes/8 && mayForget(c) {
+				chosen[c] = true
+			}
+		}
+		if len(chosen) > 0 {
+			q.forget(func(c *crash) bool { return chosen[c] })
 			return true
 		}
 	}
--- a/process/quarantiner/quarantiner_test.go
+++ b/process/quarantiner/quarantiner_test.go
@@ -204,3 +204,74 @@
 		}
 	}
 }
+
+// TestOneOfMany checks that the request that crashes targets is found among those that end
+// with them, that popular ones stay, and that VMs which only hear of it know it too.
+func TestOneOfMany(t *testing.T) {
+	for seed := range uint64(30) {
+		random := rand.New(rand.NewPCG(seed, 4))
+		clock := &testClock{now: time.Minute}
+		vms := []*quarantiner.Quarantiner{newVM(clock), newVM(clock), newVM(clock), newVM(clock)}
+		gossip := func() {
+			for _, from := range vms {
+				for _, to := range vms {
+					own, _ := to.Crashes(0)
+					_, crashes := from.Crashes(own)
+					to.Merge("peer", crashes)
+				}
+			}
+		}
+		popular := func() string { return fmt.Sprintf("popular-%d", random.IntN(4)) }
+		crashes := 0
+		for n := range 4000 {
+			clock.now += 10 * time.Millisecond
+			v := vms[random.IntN(len(vms)-1)]
+			if random.IntN(20) > 0 {
+				v.RecordSound("s", []string{popular()})
+			} else if _, refused := v.Check("s", "a", []string{"deadly"}); !refused {
+				crashes++
+				v.RecordCrash("s", "a", []string{"deadly"}, target(n))
+				for i := range 24 {
+					// The others on the target end with it, some of them popular.
+					ended := fmt.Sprintf("once-%d-%d", n, i)
+					if i%3 == 0 {
+						ended = popular()
+					}
+					vms[random.IntN(len(vms)-1)].RecordCrash("s", "a", []string{ended}, target(n))
+				}
+			}
+			if n%25 == 0 {
+				gossip()
+			}
+			for _, v := range vms {
+				_, refused := v.Check("s", "a", []string{popular()})
+				assert.Assert(t, !refused, "seed %d: a popular request is refused at step %d", seed, n)
+			}
+		}
+		assert.Assert(t, crashes <= 8, "seed %d: %d crashes", seed, crashes)
+		for i, v := range vms {
+			_, refused := v.Check("s", "a", []string{"deadly"})
+			assert.Assert(t, refused, "seed %d: VM %d lets the deadly request pass", seed, i)
+		}
+	}
+}
+
+// BenchmarkCheck measures what a request costs while as many crashes as may be are known.
+func BenchmarkCheck(b *testing.B) {
+	clock := &testClock{now: time.Minute}
+	q := newVM(clock)
+	for i := range 600 {
+		clock.now += time.Millisecond
+		q.RecordCrash("s", "a", []string{fmt.Sprintf("once-%d", i)}, target(i/24))
+	}
+	b.Run("check", func(b *testing.B) {
+		for b.Loop() {
+			q.Check("s", "a", []string{"p", "q", "r"})
+		}
+	})
+	b.Run("sound", func(b *testing.B) {
+		for b.Loop() {
+			q.RecordSound("s", []string{"p", "q", "r"})
+		}
+	})
+}
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -174,6 +174,7 @@
 		LeavingGrace:      time.Duration(float64(s.LeavingWithin) * leavingFraction),
 		ColdFactor:        s.ColdFactor,
 		ColdAllowance:     s.ColdAllowance,
+		Secret:            s.FleetSecret,
 	}
 }
 
--- a/relay.go
+++ b/relay.go
@@ -122,6 +122,8 @@
 	ResumeAfter string
 	// SharedParts are the IDs of the parts of the prompt that other requests may have too.
 	SharedParts []string
+	// Prompt is what the caller says of the prompt besides the body, empty for nothing.
+	Prompt string
 
 	HTTP *http.Request
 	Body []byte
--- a/request/relayer/admit.go
+++ b/request/relayer/admit.go
@@ -50,7 +50,7 @@
 	if j.service == nil {
 		j.service = &bluebelldoor.ServiceKind{Name: j.serviceName}
 	}
-	return j.checkParts()
+	return j.checkSuspects()
 }
 
 // isBehind reports whether a newer routing is known that has not arrived.
@@ -108,7 +108,7 @@
 	if !j.Limits.Allows(j.permitted, t.Instance) {
 		return errNoPermit
 	}
-	if j.checkParts() != nil {
+	if j.checkSuspects() != nil {
 		return errQuarantined
 	}
 	if j.call.Begun() {
--- a/request/relayer/admit_test.go
+++ b/request/relayer/admit_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -220,3 +223,49 @@
 	synctest.Wait()
 	return reg.View()
 }
+
+// TestRequestSuspect checks which requests count as the same, and that the digest depends on
+// the secret and on the caller's key.
+func TestRequestSuspect(t *testing.T) {
+	suspect := func(change func(j *job, s *Settings)) string {
+		body := []byte("body")
+		j := &job{Relayer: &Relayer{}, account: "a", request: &bluebelldoor.RelayRequest{
+			Host: "h", APIKey: "key", Prompt: "p", Body: body, HTTP: httptest.NewRequest(http.MethodPost, "/a?b=c", nil), ID: "1",
+		}}
+		s := Settings{Secret: "secret"}
+		change(j, &s)
+		j.Reload(s)
+		return j.requestSuspect()
+	}
+	same := suspect(func(*job, *Settings) {})
+	assert.Equal(t, same, suspect(func(j *job, _ *Settings) { j.request.ID = "2" }))
+	for name, change := range map[string]func(*job, *Settings){
+		"method":  func(j *job, _ *Settings) { j.request.HTTP.Method = http.MethodPut },
+		"host":    func(j *job, _ *Settings) { j.request.Host = "other" },
+		"query":   func(j *job, _ *Settings) { j.request.HTTP.URL.RawQuery = "b=d" },
+		"prompt":  func(j *job, _ *Settings) { j.request.Prompt = "q" },
+		"body":    func(j *job, _ *Settings) { j.request.Body = []byte("other") },
+		"account": func(j *job, _ *Settings) { j.account = "b" },
+		"key":     func(j *job, _ *Settings) { j.request.APIKey = "other" },
+		"secret":  func(_ *job, s *Settings) { s.Secret = "other" },
+		"fields that join alike": func(j *job, _ *Settings) {
+			j.request.Prompt, j.request.Body = "pb", []byte("ody")
+		},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Assert(t, suspect(change) != same) })
+	}
+}
+
+// BenchmarkRequestSuspect measures the cost of telling requests apart, by the size of the body.
+func BenchmarkRequestSuspect(b *testing.B) {
+	for _, size := range []int{600, 3000, 1 << 20} {
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			r := &Relayer{}
+			r.Reload(Settings{})
+			request := &bluebelldoor.RelayRequest{Body: make([]byte, size), HTTP: httptest.NewRequest(http.MethodPost, "/a", nil)}
+			for b.Loop() {
+				(&job{Relayer: r, request: request}).requestSuspect()
+			}
+		})
+	}
+}
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -46,7 +46,7 @@
 	if j.mustQueue() {
 		return j.waitForTarget()
 	}
-	if refusal := j.checkParts(); refusal != nil {
+	if refusal := j.checkSuspects(); refusal != nil {
 		return nil, nil, refusal
 	}
 	now := j.clock.Now()
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -39,6 +39,8 @@
 	// number of requests per second that all VMs together may send to it.
 	ColdFactor    float64
 	ColdAllowance float64
+	// Secret is the fleet's; it keys the digests that identify requests.
+	Secret string
 }
 
 // Sources are the functions through which the relayer reads and notifies the
@@ -170,6 +172,9 @@
 	notExecuted   int // sends that a target reported as not executed
 	unsent        int // attempts in which no byte was sent
 	permitted     limiter.Permit
+	// suspect is the result of requestSuspect once suspectOnce is done.
+	suspectOnce sync.Once
+	suspect     string
 }
 
 // Serve handles a caller's request up to its final response.
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -34,7 +34,7 @@
 var (
 	errNotPermitted = errors.New("target accepts no new requests, or the request is no longer authorized")
 	errPaused       = errors.New("target has asked this VM to pause")
-	errQuarantined  = errors.New("a part of the prompt is kept away from engines")
+	errQuarantined  = errors.New("the request or a part of its prompt is kept away from targets")
 	errNoPermit     = errors.New("target has a limit, and this VM has no valid permit")
 	errEventTooLong = errors.New("target sent an event of more than 1 MiB")
 	errTooLarge     = errors.New("response too large to buffer")
@@ -99,6 +99,9 @@
 		return j.handleUnsent(t, err)
 	}
 	j.maybeExecuted++
+	if !sendErr.WrongRequestID {
+		j.recordLostAnswer(t, err)
+	}
 	if j.mayRetry() {
 		j.prepareRetry(t, err.Error())
 		return false
@@ -110,7 +113,7 @@
 // handleUnsent handles an attempt in which no byte was sent.
 func (j *job) handleUnsent(t *registrar.Target, err error) bool {
 	j.unsent++
-	if refusal := j.checkParts(); refusal != nil {
+	if refusal := j.checkSuspects(); refusal != nil {
 		j.refuse(refusal)
 		return true
 	}
--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -219,7 +219,7 @@
 // returns what the targets lack if the generation has to wait on.
 func (w *waiter) place(now time.Duration) placer.Room {
 	j := w.job
-	if refusal := j.checkParts(); refusal != nil {
+	if refusal := j.checkSuspects(); refusal != nil {
 		w.refuse(refusal)
 		return placer.HasRoom
 	}
--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -371,6 +371,11 @@
 		t.stream(w, r, source, execution, behaviour)
 		return
 	}
+	t.answer(w, id, behaviour, began)
+}
+
+// answer sends the answer of an application runner to a request that came at began.
+func (t *Target) answer(w http.ResponseWriter, id string, behaviour Behaviour, began time.Time) {
 	if t.hasCrashedSince(began) {
 		panic(http.ErrAbortHandler)
 	}
