A planned stop answers the requests that outlast it

Report: in a planned stop, requests that came late in the grace were taken, passed on, and cut with no answer at its end, among them requests that may not be repeated (LOST). It can happen here.

Cause: new requests were refused in the last second of the stop, whatever its length; one that took longer lost its connection when the process ended.

Change: new requests are refused in the last quarter of the stop (2 s of 8; 503 with a Retry-After, not run). At its end, requests that are still under way, but for streams, get 502 if a target may have run them, or else 503.

--- a/process/runner/drain.go
+++ b/process/runner/drain.go
@@ -9,10 +9,9 @@
 	// newStreamsFraction is the fraction of StopWithin during which new streams
 	// are still accepted from callers that use an old address.
 	newStreamsFraction = 0.3
-	// refuseBeforeEnd is how long before the end of a stop new requests are
-	// refused. Most requests take less time, so that the last ones accepted
-	// are not cut off.
-	refuseBeforeEnd = time.Second
+	// refuseFraction is the fraction of StopWithin, at its end, in which new requests are
+	// refused. Most requests take less time. Those that do not are told so at the end.
+	refuseFraction = 0.25
 	// stopMargin is how long before the platform's limit a stop ends.
 	stopMargin = 400 * time.Millisecond
 	// addressReuseFactor is how many times the validity of a directory response
@@ -47,7 +46,7 @@
 		if elapsed > time.Duration(float64(r.settings.StopWithin)*newStreamsFraction) {
 			r.relayer.Drain()
 		}
-		if elapsed > limit-refuseBeforeEnd {
+		if elapsed > limit-time.Duration(float64(r.settings.StopWithin)*refuseFraction) {
 			r.relayer.Close()
 		}
 		if r.acceptor.ActiveRequests() > 0 {
@@ -61,6 +60,7 @@
 		case <-ticker.C:
 		}
 	}
+	r.relayer.End()
 	r.flushRefusals(ctx)
 	cut := r.acceptor.ActiveRequests()
 	r.log.Info("drained", "cut", cut)
--- a/process/runner/stops_test.go
+++ b/process/runner/stops_test.go
@@ -126,6 +126,54 @@
 	assert.Equal(t, cut, 0)
 }
 
+// TestRelayStopAnswersAll guards against requests that are passed on late in a stop and end
+// without any answer, while their target is still at work (LOST).
+func TestRelayStopAnswersAll(t *testing.T) {
+	const work = 1300 * time.Millisecond
+	for name, c := range map[string]struct{ method, path string }{
+		"may be repeated":     {"GET", safePath},
+		"may not be repeated": {"POST", unsafePath},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startRelays(t, 2, trustKeysLonger)
+			app := f.targets.Add("app-1", "app", "dc-0")
+			defer app.Stop()
+			f.awaitTargets(t)
+			app.SetBehaviour(func(*http.Request) lender.Behaviour {
+				time.Sleep(work)
+				return lender.Serve
+			})
+			vm := f.vms[0]
+			drained := make(chan int, 1)
+			go func() {
+				cut := vm.Drain(context.Background())
+				// The process ends.
+				vm.stop()
+				drained <- cut
+			}()
+			time.Sleep(100 * time.Millisecond)
+			statuses := map[int]int{}
+			var mu sync.Mutex
+			var callers sync.WaitGroup
+			for i := range 30 {
+				callers.Go(func() {
+					got := vm.send(t, c.method, c.path+"x", fmt.Sprintf("late-%d", i), nil)
+					mu.Lock()
+					defer mu.Unlock()
+					statuses[got.status]++
+					assert.Check(t, got.status != 0, "request %d ended without an answer", i)
+					assert.Check(t, got.status != 503 || len(f.targets.Executions(fmt.Sprintf("late-%d", i))) == 0, "request %d has run and was refused", i)
+				})
+				time.Sleep(100 * time.Millisecond)
+			}
+			callers.Wait()
+			t.Logf("answers by status: %v", statuses)
+			assert.Equal(t, <-drained, 0)
+			assert.Check(t, statuses[200] > 0 && statuses[503] > 0, "%v", statuses)
+		})
+	}
+}
+
 // TestRelayCrowded checks that a long generation waits until an engine has room,
 // and that short ones and those of another service overtake it. One that can't be
 // served before its deadline must be refused immediately with a Retry-After and
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -87,6 +87,9 @@
 	traffic  traffic
 	draining atomic.Bool
 	closed   atomic.Bool
+	// ending is done when requests that are still under way get their final answer.
+	ending context.Context
+	end    context.CancelFunc
 
 	mu      sync.Mutex
 	ledger  *placer.Ledger
@@ -115,6 +118,7 @@
 		shortArrivals: map[string]*placer.ShortArrivals{},
 	}
 	r.settings.Store(&settings)
+	r.ending, r.end = context.WithCancel(context.Background())
 	return r
 }
 
@@ -132,6 +136,10 @@
 // Close makes the VM refuse all requests, as it stops before it could serve them.
 func (r *Relayer) Close() { r.closed.Store(true) }
 
+// End makes requests that are still under way, but for streams, get their final answer at
+// once, as the VM is about to stop.
+func (r *Relayer) End() { r.end() }
+
 // QueueLength returns how many generations wait for an engine.
 func (r *Relayer) QueueLength() int {
 	r.mu.Lock()
@@ -197,6 +205,12 @@
 		j.ctx, cancel = context.WithTimeout(ctx, j.deadline-j.arrived)
 		defer cancel()
 	}
+	if !j.route.Streamed {
+		var cancel context.CancelCauseFunc
+		j.ctx, cancel = context.WithCancelCause(j.ctx)
+		defer cancel(nil)
+		defer context.AfterFunc(r.ending, func() { cancel(acceptor.ErrStopped) })()
+	}
 	r.Budget.CountRequest(j.serviceName, j.arrived)
 	j.run()
 }
@@ -274,6 +288,10 @@
 func (j *job) abandon() {
 	if !j.expired() {
 		code, detail := j.endCause()
+		if code == bluebelldoor.Draining && !j.call.Begun() {
+			j.refuse(bluebelldoor.NewRefusal(code, detail).WithRetryAfter(defaultRetryAfter / 10))
+			return
+		}
 		outcome := "caller left"
 		if code != bluebelldoor.CallerGone {
 			outcome = "broken off"
