Test: a response that ends inside its head is no response

It can't happen here: heads cut after each byte, with a length, chunks, close-delimited and with bare line feeds, are all errors with an unknown outcome. No code changes.

--- a/connection/exchanger/exchanger_test.go
+++ b/connection/exchanger/exchanger_test.go
@@ -158,6 +158,34 @@
 	}
 }
 
+// TestTruncatedHead guards against a response that ends inside its head and is passed on as a
+// complete one with an empty or short body: wherever it ends, it is no response.
+func TestTruncatedHead(t *testing.T) {
+	for name, rest := range map[string]string{
+		"length":          "Content-Length: 123\r\nServer-Stamp: s\r\n",
+		"chunks":          "Transfer-Encoding: chunked\r\nServer-Stamp: s\r\n",
+		"close-delimited": "Connection: close\r\nServer-Stamp: s\r\n",
+		"line feeds":      "Content-Length: 123\nServer-Stamp: s\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			const id = "r1"
+			head := "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\n" + rest + "\r\n"
+			for end := 1; end < len(head); end++ {
+				instance, _ := startTarget(t, func(_ int, _ string, conn net.Conn) {
+					_, _ = io.WriteString(conn, head[:end])
+					conn.Close()
+				})
+				x, stop := exchanger.New(platform.Codec{})
+				_, err := x.Send(context.Background(), instance, newRequest(id, true))
+				stop()
+				var sendErr *bluebelldoor.SendError
+				assert.Assert(t, errors.As(err, &sendErr), "a head that ends after %q was taken", head[:end])
+				assert.Equal(t, sendErr.Executed, bluebelldoor.ExecutedUnknown)
+			}
+		})
+	}
+}
+
 // TestNothingLeft checks that a refused connection is reported as not executed.
 func TestNothingLeft(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
