--- a/process/registrar/bulk_test.go
+++ b/process/registrar/bulk_test.go
@@ -88,6 +88,43 @@
 	})
 }
 
+// TestBulkAtSize is TestBulkConfig at sizes up to the planned one, with the users' bound
+// there. It logs how long each change took to reach all VMs.
+func TestBulkAtSize(t *testing.T) {
+	if testing.Short() {
+		t.Skip("slow: large fleets")
+	}
+	const within = 7 * time.Second
+	all := map[string]storm{}
+	for _, vms := range []int{68, 300, 410} {
+		s := storm{dataCentres: 16, small: vms, changes: 3, routes: 1400, loseHub: true, join: 6, drainEvery: 200 * time.Millisecond}
+		all[fmt.Sprintf("%d small VMs", vms)] = s
+		s.large, s.small = vms/8, vms-vms/8
+		all[fmt.Sprintf("%d VMs, an eighth of them large", vms)] = s
+	}
+	playStorms(t, all, func(t *testing.T, s storm) func(*fleet, time.Duration) {
+		inForce := map[int]time.Duration{}
+		return func(f *fleet, since time.Duration) {
+			for version := 2; version <= s.changes+1; version++ {
+				age := since - time.Duration(version-2)*time.Second
+				behind := 0
+				for _, v := range f.all() {
+					if r := v.View().Routing(); time.Since(v.startedAt) > since && (r == nil || r.Version() < uint64(version)) {
+						behind++
+					}
+				}
+				if _, done := inForce[version]; !done && age >= 0 && behind == 0 {
+					inForce[version] = age
+					t.Logf("version %d is in force on all VMs %s after it was published", version, age)
+				}
+				if age >= within && behind > 0 {
+					t.Errorf("version %d is not in force on %d VMs after %s", version, behind, age)
+				}
+			}
+		}
+	})
+}
+
 // TestBulkDrain guards against a VM that does not know that a target leaves, leavingWithin
 // after the target has said so, because the news waits behind bulk data.
 func TestBulkDrain(t *testing.T) {
