--- a/code.go
+++ b/code.go
@@ -90,7 +90,7 @@
 	TooSlow:           {"tooSlow", 408, "the request did not arrive in time"},
 	UnknownRoute:      {"unknownRoute", 404, "no route of the routing in force has this host and path"},
 	HeadTooLarge:      {"headTooLarge", 431, "the request's head exceeds a size limit"},
-	PromptQuarantined: {"promptQuarantined", 422, "a part of the prompt has crashed several engines; repeating the request does not help"},
+	PromptQuarantined: {"promptQuarantined", 422, "the request, or a part of its prompt, has crashed several targets; repeating the request does not help"},
 	AccountLimit:      {"accountLimit", 429, "the client account has reached its limit on this VM"},
 	QueueFull:         {"queueFull", 503, "the queue on this VM is full"},
 	DeadlineTooNear:   {"deadlineTooNear", 503, "the deadline can't be met at the present load"},
