Evidence and pages of changes: a part of the changes proves nothing

Found by reading the diff. A delta that was cut into pages, or held back from a build that takes no references, reached a lower position than the sender's, but carried the sender's evidence: the receiver would have taken its state for the platform's newest (CONFIG, DRAIN). Evidence is now sent only with a delta that reaches the position it is for. A complete state that does not arrive within 4 s is given up, and another one asked for: the VM that held it may be gone.

TestPagedEvidence fails before in both cases. TestRecordsByReference covers the complete state.

--- a/process/registrar/book.go
+++ b/process/registrar/book.go
@@ -40,9 +40,10 @@
 	// in force until then.
 	awaited map[string]bluebelldoor.Record
 	// missingRouting is a routing that a peer keeps in force and whose value has not arrived,
-	// and missingDelta a delta whose records have not.
-	missingRouting *bluebelldoor.Record
-	missingDelta   *bluebelldoor.RecordDelta
+	// and missingDelta a delta whose records have not, since missingDeltaSince.
+	missingRouting    *bluebelldoor.Record
+	missingDelta      *bluebelldoor.RecordDelta
+	missingDeltaSince time.Duration
 
 	position   bluebelldoor.Position
 	records    map[string]bluebelldoor.Record
--- a/process/registrar/bulk_test.go
+++ b/process/registrar/bulk_test.go
@@ -259,6 +259,100 @@
 	})
 }
 
+// TestPagedEvidence guards against evidence for a part of the changes: a VM that has received
+// the first page of them does not hold the platform's newest state.
+func TestPagedEvidence(t *testing.T) {
+	for name, references := range map[string]bool{"pages": true, "a build without references, the value is missing": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newCatalogue()
+				store.put("config", routingText(1, 100))
+				reader := start(t, store, true, registrar.WithValues(keeper{map[string][]byte{}}))
+				link := &linkedCatalogue{Catalogue: store}
+				var options []registrar.Option
+				if references {
+					options = append(options, registrar.WithValues(keeper{map[string][]byte{}}))
+				}
+				v := start(t, link, false, options...)
+				time.Sleep(time.Second)
+				link.cut.Store(true)
+				time.Sleep(3 * time.Second)
+				for i := range 500 {
+					store.put(fmt.Sprintf("t/%d", i), "draining/1")
+				}
+				synctest.Wait()
+				if !references {
+					reader = start(t, store, false, registrar.WithValues(keeper{map[string][]byte{}}))
+					synctest.Wait()
+					withheld := bluebelldoor.Record{Key: "config", Revision: 900, Reference: &bluebelldoor.ValueReference{Digest: make([]byte, 16), Bytes: 5000}}
+					reader.ApplyDelta(t.Context(), bluebelldoor.RecordDelta{Base: 502, Revision: 900, Records: []bluebelldoor.Record{withheld}}, reader.clock.Now(), true)
+					assert.Assert(t, reader.IsBehind())
+				}
+				pages := 0
+				for more := true; more; pages++ {
+					request := v.Delta(t.Context(), reader.Position(), references, nil)
+					sentAt := v.clock.Now()
+					reply := reader.Delta(t.Context(), request.Position(), references, &request)
+					v.ApplyDelta(t.Context(), reply, sentAt, true)
+					more = reply.More
+					if age, _ := v.EvidenceAge(); v.Position() != reader.Position() {
+						assert.Assert(t, age >= 2*time.Second, "page %d renewed the evidence", pages)
+					}
+				}
+				if references {
+					assert.Assert(t, pages > 1, "%d pages", pages)
+					assert.Equal(t, v.Position(), reader.Position())
+					age, _ := v.EvidenceAge()
+					assert.Assert(t, age < 2*time.Second, "evidence is %s old", age)
+				}
+			})
+		})
+	}
+}
+
+// TestRecordsByReference checks that a complete state that does not fit into a message comes as
+// a value of its own, and is applied when that arrives.
+func TestRecordsByReference(t *testing.T) {
+	const targets = 400
+	synctest.Test(t, func(t *testing.T) {
+		store := newCatalogue()
+		store.put("config", routingText(1, 100))
+		for i := range targets {
+			store.put(fmt.Sprintf("t/%d", i), "ready/1")
+		}
+		readers, own := keeper{map[string][]byte{}}, keeper{map[string][]byte{}}
+		reader := start(t, store, true, registrar.WithValues(readers))
+		link := &linkedCatalogue{Catalogue: store}
+		link.cut.Store(true)
+		v := start(t, link, false, registrar.WithValues(own))
+		time.Sleep(2 * time.Second)
+		ask := func() bluebelldoor.RecordDelta {
+			request := v.Delta(t.Context(), reader.Position(), true, nil)
+			sentAt := v.clock.Now()
+			reply := reader.Delta(t.Context(), request.Position(), true, &request)
+			v.ApplyDelta(t.Context(), reply, sentAt, true)
+			return reply
+		}
+		reply := ask()
+		assert.Assert(t, reply.RecordsIn != nil && len(reply.Records) == 0)
+		assert.Assert(t, v.Position() != reader.Position())
+		next := ask()
+		assert.Assert(t, next.RecordsIn == nil, "the VM asks again for what is on its way")
+		time.Sleep(5 * time.Second)
+		reply = ask()
+		assert.Assert(t, reply.RecordsIn != nil, "the VM does not ask again for what has not arrived")
+		value := readers.Value(reply.RecordsIn.Digest)
+		own.Hold(value)
+		v.Deliver(t.Context(), *reply.RecordsIn, value)
+		assert.Equal(t, v.Position(), reader.Position())
+		assert.Assert(t, v.open("0") && v.open("399"))
+		assert.Assert(t, v.IsBehind(), "the routing is a value of its own")
+		ask()
+		age, ok := v.EvidenceAge()
+		assert.Assert(t, ok && age < 2*time.Second, "evidence is %s old", age)
+	})
+}
+
 // TestMissingValueIsRead checks that a VM reads everything from the platform if no peer sends
 // it a value.
 func TestMissingValueIsRead(t *testing.T) {
--- a/process/registrar/catalogue_test.go
+++ b/process/registrar/catalogue_test.go
@@ -29,8 +29,8 @@
 }
 
 // catalogue is a fake platform. The value of a record determines its kind: "v7" is
-// routing of version 7, with routes after a line break, "ready", "draining" or "ready/2" a target (started at 2), and "out" a
-// data centre that is out of service.
+// routing of version 7, "ready", "draining" or "ready/2" a target (started at 2), and "out" a
+// data centre that is out of service. What follows a line break is ignored.
 type catalogue struct {
 	mu       sync.Mutex
 	revision uint64
@@ -121,14 +121,13 @@
 
 func (c *catalogue) Decode(r bluebelldoor.Record) bluebelldoor.Change {
 	out := bluebelldoor.Change{Removed: r.Removed}
-	value := string(r.Value)
+	value, _, _ := strings.Cut(string(r.Value), "\n")
 	switch {
 	case strings.HasPrefix(r.Key, "out/"):
 		out.DataCentre = strings.TrimPrefix(r.Key, "out/")
 	case r.Removed:
 	case strings.HasPrefix(value, "v"):
-		text, _, _ := strings.Cut(value[1:], "\n")
-		version, err := strconv.ParseUint(text, 10, 64)
+		version, err := strconv.ParseUint(value[1:], 10, 64)
 		if err != nil {
 			out.Err = err
 			break
--- a/process/registrar/history_test.go
+++ b/process/registrar/history_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"bluebelldoor"
+	"bluebelldoor/process/registrar"
 )
 
 const (
@@ -69,6 +70,8 @@
 	link     *linkedCatalogue
 	isolated bool
 	stop     func()
+	// values is nil if messages hold all values.
+	values *historyKeeper
 	// version is the highest routing version that the process had in force, and ended the
 	// incarnations that it knew to be draining or gone for good.
 	version uint64
@@ -81,8 +84,10 @@
 type history struct {
 	t      *testing.T
 	random *rand.Rand
-	store  *catalogue
-	vms    []*historyVM
+	// large makes values too large for messages.
+	large bool
+	store *catalogue
+	vms   []*historyVM
 	// truth holds what was last acknowledged to operators and targets, by key.
 	truth map[string]string
 	// version is the last version that the operators published.
@@ -99,9 +104,47 @@
 	h.log = append(h.log, fmt.Sprintf(format, args...))
 }
 
+// pad makes values so large that messages hold a reference to a routing, and a few targets.
+func (h *history) pad(key, value string) string {
+	switch {
+	case !h.large || value == "":
+		return value
+	case strings.HasPrefix(key, "t/"):
+		return value + "\n" + strings.Repeat("x", 1900)
+	}
+	return value + "\n" + strings.Repeat(key+value, 1000)
+}
+
+// historyKeeper is a VM's ValueKeeper: wanted values come from another VM with the next
+// exchanges, or late.
+type historyKeeper struct {
+	held   map[string][]byte
+	wanted []bluebelldoor.ValueReference
+}
+
+func (k *historyKeeper) Hold(value []byte) bluebelldoor.ValueReference {
+	return keeper{k.held}.Hold(value)
+}
+
+func (k *historyKeeper) Value(digest []byte) []byte                 { return k.held[string(digest)] }
+func (k *historyKeeper) Want(missing []bluebelldoor.ValueReference) { k.wanted = missing }
+
+// deliver delivers the values that a VM wants and another holds, some of them.
+func (h *history) deliver(from, to *historyVM) {
+	if from.values == nil || to.values == nil {
+		return
+	}
+	for _, reference := range slices.Clone(from.values.wanted) {
+		if value := to.values.Value(reference.Digest); value != nil && h.random.IntN(3) > 0 {
+			from.values.Hold(value)
+			from.Deliver(h.t.Context(), reference, value)
+		}
+	}
+}
+
 func (h *history) put(key, value string) {
 	h.truth[key] = value
-	h.store.put(key, value)
+	h.store.put(key, h.pad(key, value))
 	h.note("put %s=%q at %d/%d", key, value, h.store.era, h.store.revision)
 }
 
@@ -117,7 +160,12 @@
 		v.link.Catalogue = withoutEras{h.store}
 	}
 	v.link.cut.Store(cut)
-	v.vm, v.stop = startStoppable(v.link, i == 0)
+	var options []registrar.Option
+	if v.values = nil; h.large && !v.old {
+		v.values = &historyKeeper{held: map[string][]byte{}}
+		options = append(options, registrar.WithValues(v.values))
+	}
+	v.vm, v.stop = startStoppable(v.link, i == 0, options...)
 	v.version, v.ended, v.judged = 0, map[string]bool{}, 0
 }
 
@@ -205,7 +253,7 @@
 		h.store.mu.Lock()
 		held, value := h.store.records[key], h.truth[key]
 		h.store.mu.Unlock()
-		if string(held.Value) != value && (value != "" || !held.Removed) {
+		if string(held.Value) != h.pad(key, value) && (value != "" || !held.Removed) {
 			h.put(key, value)
 		}
 	}
@@ -245,7 +293,8 @@
 	}
 	sentAt := from.clock.Now()
 	held := to.Position()
-	request := strip(from.Delta(h.t.Context(), held, false, nil), to, from)
+	h.deliver(from, to)
+	request := strip(from.Delta(h.t.Context(), held, to.values != nil, nil), to, from)
 	to.ApplyDelta(h.t.Context(), request, 0, false)
 	reply := strip(to.Delta(h.t.Context(), request.Position(), false, &request), from, to)
 	if h.random.IntN(10) > 0 {
@@ -317,17 +366,19 @@
 func TestRestoreHistories(t *testing.T) {
 	seeds := historySeeds(t)
 	for name, c := range map[string]struct {
-		old bool
-		vms int
+		old, large bool
+		vms        int
 	}{
-		"one VM":              {false, 1},
-		"four VMs":            {false, 4},
-		"a build before eras": {true, 4},
+		"one VM":                               {false, false, 1},
+		"four VMs":                             {false, false, 4},
+		"a build before eras":                  {true, false, 4},
+		"four VMs, large values":               {false, true, 4},
+		"a build before eras and large values": {true, true, 4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for _, seed := range seeds {
 				t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) { playHistory(t, seed, c.vms, c.old) })
+					synctest.Test(t, func(t *testing.T) { playHistory(t, seed, c.vms, c.old, c.large) })
 				})
 			}
 		})
@@ -357,8 +408,8 @@
 	return n
 }
 
-func playHistory(t *testing.T, seed uint64, vms int, old bool) {
-	h := &history{t: t, random: rand.New(rand.NewPCG(seed, 7)), store: newCatalogue(), truth: map[string]string{}}
+func playHistory(t *testing.T, seed uint64, vms int, old, large bool) {
+	h := &history{t: t, large: large, random: rand.New(rand.NewPCG(seed, 7)), store: newCatalogue(), truth: map[string]string{}}
 	h.store.era = 1
 	for range vms {
 		h.vms = append(h.vms, &historyVM{})
--- a/process/registrar/peers.go
+++ b/process/registrar/peers.go
@@ -21,7 +21,8 @@
 	}
 	out.References = r.values != nil
 	out.EvidenceAgeMs = -1
-	if age, ok := r.EvidenceAge(); ok {
+	if age, ok := r.EvidenceAge(); ok && !r.Position().After(out.Position()) {
+		// The evidence is that of the position held, which a shortened delta does not reach.
 		out.EvidenceAgeMs = age.Milliseconds() + 1
 	}
 	out.Leaving = r.leavingIncarnations()
@@ -104,7 +105,7 @@
 	}
 	if !r.state.loadRecords(&delta) {
 		if r.state.missingDelta == nil {
-			r.state.missingDelta = &delta
+			r.state.missingDelta, r.state.missingDeltaSince = &delta, r.clock.Now()
 		}
 		return
 	}
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -219,6 +219,7 @@
 			update()
 		case <-ticker.C:
 			now := r.clock.Now()
+			r.expireMissingDelta(now)
 			changed := r.state.expireRetained(now, time.Duration(r.evidence.Load()))
 			r.publish(r.state.expireLapsed(now) || changed)
 			notices := r.state.recentLeaveNotices(now)
--- a/process/registrar/values.go
+++ b/process/registrar/values.go
@@ -24,6 +24,9 @@
 	// reads everything from the platform, and missingReadInterval how often it does.
 	missingReadDelay    = time.Second
 	missingReadInterval = 2 * time.Second
+	// maxRecordsWait is how long a VM waits for the records of a delta before it asks for others:
+	// the VMs that held them may be gone.
+	maxRecordsWait = 4 * time.Second
 )
 
 // WithValues lets the registrar send large values by reference, and fetch those that peers
@@ -192,6 +195,15 @@
 	})
 }
 
+// expireMissingDelta gives up a delta whose records have not arrived.
+func (r *Registrar) expireMissingDelta(now time.Duration) {
+	if s := r.state; s.missingDelta != nil && now-s.missingDeltaSince > maxRecordsWait {
+		r.log.Warn("records of a peer have not arrived", "revision", s.missingDelta.Revision, "bytes", s.missingDelta.RecordsIn.Bytes)
+		s.missingDelta = nil
+		r.wantMissing()
+	}
+}
+
 // wantMissing has the missing values fetched.
 func (r *Registrar) wantMissing() {
 	if r.values == nil {
