--- a/process/fetcher/fetcher_test.go
+++ b/process/fetcher/fetcher_test.go
@@ -81,6 +81,27 @@
 	return f
 }
 
+// setChange sets the function that may replace a reply. It is called under the fleet's mutex.
+func (f *fleet) setChange(change func(from string, reply *bluebelldoor.FetchReply) error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.change = change
+}
+
+// chunksOf returns how many chunks a VM has sent.
+func (f *fleet) chunksOf(vm string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.chunks[vm]
+}
+
+// fetched returns the value that has been delivered to the first VM.
+func (f *fleet) fetched() []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.delivered["vm-0"]
+}
+
 func randomValue(seed uint64, n int) []byte {
 	random := rand.New(rand.NewPCG(seed, 0))
 	out := make([]byte, n)
@@ -97,8 +118,8 @@
 		value := randomValue(1, 300_000)
 		f.vms["vm-0"].Want([]bluebelldoor.ValueReference{f.vms["vm-2"].Hold(value)})
 		time.Sleep(3 * time.Second)
-		assert.Assert(t, bytes.Equal(f.delivered["vm-0"], value))
-		assert.Assert(t, f.chunks["vm-2"] > 8, "%d chunks", f.chunks["vm-2"])
+		assert.Assert(t, bytes.Equal(f.fetched(), value))
+		assert.Assert(t, f.chunksOf("vm-2") > 8, "%d chunks", f.chunksOf("vm-2"))
 		assert.Equal(t, f.vms["vm-0"].Received(), f.vms["vm-2"].Sent())
 	})
 }
@@ -110,19 +131,19 @@
 		f := newFleet(t, 3)
 		value := randomValue(2, 300_000)
 		f.vms["vm-1"].Hold(value)
-		f.change = func(from string, _ *bluebelldoor.FetchReply) error {
+		f.setChange(func(from string, _ *bluebelldoor.FetchReply) error {
 			if from == "vm-1" && f.chunks["vm-1"] > 5 {
 				return errors.New("connection reset")
 			}
 			return nil
-		}
+		})
 		f.vms["vm-0"].Want([]bluebelldoor.ValueReference{f.vms["vm-2"].Hold(value)})
 		time.Sleep(4 * time.Second)
-		assert.Assert(t, bytes.Equal(f.delivered["vm-0"], value))
-		total := f.chunks["vm-1"] + f.chunks["vm-2"]
+		assert.Assert(t, bytes.Equal(f.fetched(), value))
+		total := f.chunksOf("vm-1") + f.chunksOf("vm-2")
 		f.vms["vm-1"].Want([]bluebelldoor.ValueReference{f.vms["vm-2"].Hold(randomValue(3, 300_000))})
 		time.Sleep(3 * time.Second)
-		whole := f.chunks["vm-1"] + f.chunks["vm-2"] - total
+		whole := f.chunksOf("vm-1") + f.chunksOf("vm-2") - total
 		assert.Assert(t, total <= whole+2, "%d chunks, a whole value has %d", total, whole)
 	})
 }
@@ -150,7 +171,7 @@
 		f.vms["vm-1"].Hold(old)
 		f.vms["vm-0"].Want([]bluebelldoor.ValueReference{f.vms["vm-1"].Hold(changed)})
 		time.Sleep(time.Second)
-		assert.Assert(t, bytes.Equal(f.delivered["vm-0"], changed))
+		assert.Assert(t, bytes.Equal(f.fetched(), changed))
 		assert.Assert(t, f.vms["vm-1"].Sent() <= maxBytes, "%d bytes for a change of a text of %d", f.vms["vm-1"].Sent(), len(old))
 	})
 }
@@ -164,9 +185,9 @@
 		time.Sleep(20 * time.Millisecond)
 		f.vms["vm-0"].Want([]bluebelldoor.ValueReference{f.vms["vm-1"].Hold(newer)})
 		time.Sleep(time.Second)
-		assert.Assert(t, bytes.Equal(f.delivered["vm-0"], newer))
+		assert.Assert(t, bytes.Equal(f.fetched(), newer))
 		// The newer one takes four, the older one would take more than sixty.
-		assert.Assert(t, f.chunks["vm-1"] < 20, "%d chunks", f.chunks["vm-1"])
+		assert.Assert(t, f.chunksOf("vm-1") < 20, "%d chunks", f.chunksOf("vm-1"))
 	})
 }
 
@@ -189,17 +210,17 @@
 				f := newFleet(t, 3)
 				value := randomValue(7, 100_000)
 				f.vms["vm-1"].Hold(value)
-				f.change = func(from string, reply *bluebelldoor.FetchReply) error {
+				f.setChange(func(from string, reply *bluebelldoor.FetchReply) error {
 					if from == "vm-1" && reply.Held {
 						spoil(reply)
 					}
 					return nil
-				}
+				})
 				f.vms["vm-0"].Want([]bluebelldoor.ValueReference{
 					f.vms["vm-2"].Hold(value), {}, {Digest: []byte("short"), Bytes: 5}, {Digest: make([]byte, 16), Bytes: 1 << 40},
 				})
 				time.Sleep(4 * time.Second)
-				assert.Assert(t, bytes.Equal(f.delivered["vm-0"], value))
+				assert.Assert(t, bytes.Equal(f.fetched(), value))
 			})
 		})
 	}
