--- a/process/fetcher/fetcher.go
+++ b/process/fetcher/fetcher.go
@@ -68,8 +68,8 @@
 
 var _ bluebelldoor.ValueKeeper = (*Fetcher)(nil)
 
-// transfer is the state of a value that is missing. All but its reference belongs to the
-// goroutine that fetches.
+// transfer is the state of a value that is missing. It belongs to the goroutine that fetches,
+// but for its reference, which does not change, and source, whose changes Fetcher.mu guards.
 type transfer struct {
 	reference bluebelldoor.ValueReference
 	began     time.Duration
@@ -114,7 +114,7 @@
 // Value implements bluebelldoor.ValueKeeper.
 func (f *Fetcher) Value(digest []byte) []byte { return f.held.value(digest) }
 
-// Sent and Received return the bytes of chunks so far.
+// Sent returns the bytes of the chunks sent so far.
 func (f *Fetcher) Sent() int64 { return f.sent.Load() }
 
 // Received returns the bytes of the chunks received so far.
