--- a/process/registrar/bulk_test.go
+++ b/process/registrar/bulk_test.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -197,16 +199,41 @@
 	})
 }
 
-// keeper is a ValueKeeper to which nothing comes.
-type keeper struct{ held map[string][]byte }
+// keeper is a ValueKeeper to which nothing comes, unless the test holds it.
+type keeper struct {
+	mu     sync.Mutex
+	held   map[string][]byte
+	wanted []bluebelldoor.ValueReference
+}
+
+func newKeeper() *keeper { return &keeper{held: map[string][]byte{}} }
 
-func (k keeper) Hold(value []byte) bluebelldoor.ValueReference {
+func (k *keeper) Hold(value []byte) bluebelldoor.ValueReference {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	sum := sha256.Sum256(value)
 	k.held[string(sum[:])] = value
 	return bluebelldoor.ValueReference{Digest: sum[:], Bytes: len(value)}
 }
-func (k keeper) Value(digest []byte) []byte           { return k.held[string(digest)] }
-func (k keeper) Want(_ []bluebelldoor.ValueReference) {}
+
+func (k *keeper) Value(digest []byte) []byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.held[string(digest)]
+}
+
+func (k *keeper) Want(missing []bluebelldoor.ValueReference) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.wanted = slices.Clone(missing)
+}
+
+// missing returns the values that are wanted.
+func (k *keeper) missing() []bluebelldoor.ValueReference {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Clone(k.wanted)
+}
 
 // TestRoutingEvidence guards against keys that count as confirmed although the VM knows that
 // the routing that holds them has been replaced: targets and routing have evidence of their
@@ -218,9 +245,9 @@
 		store := newCatalogue()
 		store.put("config", routingText(1, 100))
 		store.put("t/x", "ready/1")
-		reader, readers := start(t, store, true, registrar.WithValues(keeper{map[string][]byte{}})), map[string][]byte{}
+		reader := start(t, store, true, registrar.WithValues(newKeeper()))
 		link := &linkedCatalogue{Catalogue: store}
-		v := start(t, link, false, registrar.WithValues(keeper{readers}))
+		v := start(t, link, false, registrar.WithValues(newKeeper()))
 		time.Sleep(time.Second)
 		link.cut.Store(true)
 		ask := func() bluebelldoor.RecordDelta {
@@ -267,11 +294,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := newCatalogue()
 				store.put("config", routingText(1, 100))
-				reader := start(t, store, true, registrar.WithValues(keeper{map[string][]byte{}}))
+				reader := start(t, store, true, registrar.WithValues(newKeeper()))
 				link := &linkedCatalogue{Catalogue: store}
 				var options []registrar.Option
 				if references {
-					options = append(options, registrar.WithValues(keeper{map[string][]byte{}}))
+					options = append(options, registrar.WithValues(newKeeper()))
 				}
 				v := start(t, link, false, options...)
 				time.Sleep(time.Second)
@@ -282,7 +309,7 @@
 				}
 				synctest.Wait()
 				if !references {
-					reader = start(t, store, false, registrar.WithValues(keeper{map[string][]byte{}}))
+					reader = start(t, store, false, registrar.WithValues(newKeeper()))
 					synctest.Wait()
 					withheld := bluebelldoor.Record{Key: "config", Revision: 900, Reference: &bluebelldoor.ValueReference{Digest: make([]byte, 16), Bytes: 5000}}
 					reader.ApplyDelta(t.Context(), bluebelldoor.RecordDelta{Base: 502, Revision: 900, Records: []bluebelldoor.Record{withheld}}, reader.clock.Now(), true)
@@ -320,7 +347,7 @@
 		for i := range targets {
 			store.put(fmt.Sprintf("t/%d", i), "ready/1")
 		}
-		readers, own := keeper{map[string][]byte{}}, keeper{map[string][]byte{}}
+		readers, own := newKeeper(), newKeeper()
 		reader := start(t, store, true, registrar.WithValues(readers))
 		link := &linkedCatalogue{Catalogue: store}
 		link.cut.Store(true)
@@ -359,8 +386,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := newCatalogue()
 		store.put("config", routingText(1, 100))
-		reader := start(t, store, true, registrar.WithValues(keeper{map[string][]byte{}}))
-		v := start(t, store, false, registrar.WithValues(keeper{map[string][]byte{}}))
+		reader := start(t, store, true, registrar.WithValues(newKeeper()))
+		v := start(t, store, false, registrar.WithValues(newKeeper()))
 		time.Sleep(time.Second)
 		store.put("config", routingText(2, 200))
 		synctest.Wait()
--- a/process/registrar/history_test.go
+++ b/process/registrar/history_test.go
@@ -71,7 +71,7 @@
 	isolated bool
 	stop     func()
 	// values is nil if messages hold all values.
-	values *historyKeeper
+	values *keeper
 	// version is the highest routing version that the process had in force, and ended the
 	// incarnations that it knew to be draining or gone for good.
 	version uint64
@@ -115,26 +115,12 @@
 	return value + "\n" + strings.Repeat(key+value, 1000)
 }
 
-// historyKeeper is a VM's ValueKeeper: wanted values come from another VM with the next
-// exchanges, or late.
-type historyKeeper struct {
-	held   map[string][]byte
-	wanted []bluebelldoor.ValueReference
-}
-
-func (k *historyKeeper) Hold(value []byte) bluebelldoor.ValueReference {
-	return keeper{k.held}.Hold(value)
-}
-
-func (k *historyKeeper) Value(digest []byte) []byte                 { return k.held[string(digest)] }
-func (k *historyKeeper) Want(missing []bluebelldoor.ValueReference) { k.wanted = missing }
-
 // deliver delivers the values that a VM wants and another holds, some of them.
 func (h *history) deliver(from, to *historyVM) {
 	if from.values == nil || to.values == nil {
 		return
 	}
-	for _, reference := range slices.Clone(from.values.wanted) {
+	for _, reference := range from.values.missing() {
 		if value := to.values.Value(reference.Digest); value != nil && h.random.IntN(3) > 0 {
 			from.values.Hold(value)
 			from.Deliver(h.t.Context(), reference, value)
@@ -162,7 +148,7 @@
 	v.link.cut.Store(cut)
 	var options []registrar.Option
 	if v.values = nil; h.large && !v.old {
-		v.values = &historyKeeper{held: map[string][]byte{}}
+		v.values = newKeeper()
 		options = append(options, registrar.WithValues(v.values))
 	}
 	v.vm, v.stop = startStoppable(v.link, i == 0, options...)
