Limiter: the time after which to ask again for a permit is rounded up

From the log of today: limit 6 a second, denied at 59.258 for 164 ms; asked again at 59.423, denied for another 166 ms, and all 19 waiting generations were refused.

Cause: the time until the next token was truncated to milliseconds. A VM that asked at just that time found 0.999 tokens, was denied, and told to wait for another turn, a whole interval later: the turn was lost, and callers were refused whom the target had room for. A timer that fires a millisecond late hides it, so it showed rarely.

Change: rounded up; and a token that lacks only the error of a sum is a token.

--- a/process/limiter/bucket.go
+++ b/process/limiter/bucket.go
@@ -12,6 +12,8 @@
 	maxBurst = 2
 	// maxPromise bounds for how long a VM that gets no permit does not ask again.
 	maxPromise = 2 * time.Second
+	// minToken is a token less the error of floating-point sums.
+	minToken = 1 - 1e-9
 )
 
 // bucket is a token bucket. It starts empty: another VM may just have granted permits
@@ -36,8 +38,8 @@
 func (b *bucket) take(perSecond float64, now time.Duration) (bool, time.Duration) {
 	b.tokens = min(burst(perSecond), b.tokens+perSecond*(now-b.updatedAt).Seconds())
 	b.updatedAt = now
-	if b.tokens >= 1 {
-		b.tokens--
+	if b.tokens >= minToken {
+		b.tokens = max(0, b.tokens-1)
 		return true, 0
 	}
 	interval := min(maxPromise.Seconds(), 1/perSecond)
@@ -45,3 +47,7 @@
 	b.promised = min(max(next, b.promised+time.Duration(interval*float64(time.Second))), now+maxPromise)
 	return false, b.promised - now
 }
+
+// retryMs returns a time in milliseconds, rounded up: a VM that asks too early is told to
+// wait for another turn.
+func retryMs(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
--- a/process/limiter/limiter_test.go
+++ b/process/limiter/limiter_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"bluebelldoor"
@@ -156,6 +158,39 @@
 	}
 }
 
+// TestDenialIsLongEnough guards against a VM that is denied a permit, asks again when it was
+// told to, and is denied once more for a fraction of a millisecond: it then loses its turn.
+func TestDenialIsLongEnough(t *testing.T) {
+	target := &bluebelldoor.Instance{ID: "a", StartedAt: 1}
+	shareAlone := peers{permit: func(context.Context) (*bluebelldoor.PermitReply, error) { return nil, errors.New("no path") }}
+	for _, perSecond := range []float64{1, 1.1, 1.9, 2.7, 3, 4, 6, 7, 13, 29, 45, 49} {
+		for name, grants := range map[string]bool{"as the grantor": true, "from its share": false} {
+			t.Run(fmt.Sprintf("%v a second %s", perSecond, name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					l := newLimiter(shareAlone)
+					l.Observe(target, named(perSecond))
+					take := func() (bool, time.Duration) {
+						if grants {
+							reply := l.Permit(&bluebelldoor.PermitRequest{From: "peer", Limit: bluebelldoor.TargetLimit{Target: target.Incarnation(), PerSecond: perSecond}})
+							return reply.Granted, time.Duration(reply.RetryMs) * time.Millisecond
+						}
+						_, granted := l.Acquire(t.Context(), target)
+						return granted, l.Remaining(target)
+					}
+					for range 20 {
+						granted, wait := take()
+						for i := 0; !granted; i++ {
+							assert.Assert(t, i == 0, "denied again when it was told to ask, for %s", wait)
+							time.Sleep(wait)
+							granted, wait = take()
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestCallerLeavesWhileAsking guards against a caller that disconnects while its VM asks
 // for a permit: the VM must not take the grantor for silent and send its own share beside
 // the permits that it still gets.
--- a/process/limiter/permit.go
+++ b/process/limiter/permit.go
@@ -137,7 +137,7 @@
 		known.own = newBucket(l.clock.Now())
 	}
 	granted, retry := known.own.take(rateOf(known.perSecond, l.fleet.Share()), l.clock.Now())
-	return &bluebelldoor.PermitReply{Granted: granted, RetryMs: retry.Milliseconds()}
+	return &bluebelldoor.PermitReply{Granted: granted, RetryMs: retryMs(retry)}
 }
 
 func (l *Limiter) count(reply *bluebelldoor.PermitReply) *bluebelldoor.PermitReply {
@@ -181,5 +181,5 @@
 		known.granted = newBucket(now)
 	}
 	granted, retry := known.granted.take(rateOf(known.perSecond, l.fleet.Coverage()), now)
-	return &bluebelldoor.PermitReply{Limit: known.message(in.Limit.Target, now), Granted: granted, RetryMs: retry.Milliseconds()}
+	return &bluebelldoor.PermitReply{Limit: known.message(in.Limit.Target, now), Granted: granted, RetryMs: retryMs(retry)}
 }
