Relayer: a request asks for permits for a bounded time

Seen: TestRelayLimit, "all targets", refusals that took over 500 ms beside load (KNOWN-RED.txt). Three runs on the parent's code under the race detector beside 16 busy processes: 35, 20 and 10 such refusals.

Cause, from the log of one: a request asked for permits for three limited targets one after the other, 95, 71 and 442 ms; the last had to wait for others of its VM that asked before it, since a VM asks for one permit at a time. Nothing bounded the sum.

Change: 300 ms for all asks of a request until it is placed; then targets with a limit do not count for it, and it goes to another or is refused (214). The log line has the time spent.

Before: TestPermitTime (virtual time, grantors that answer after 140 ms) failed in "granted" and "granted, one is not limited": told after 840 ms. After: all six cases pass.

Not mended: of the slow refusals of that run some were decided after 9 and 65 ms by the VM's log and took over 750 ms by the clock of the test's client, which the busy processes hold up too; others come from connects that took 250 ms. TestRelayLimit stays in KNOWN-RED.txt; it measures by the machine's clock.

--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -75,7 +75,7 @@
 func (j *job) placePermitted() (*registrar.Target, *placer.Reservation, *bluebelldoor.Refusal) {
 	for j.ctx.Err() == nil {
 		target, reservation, refusal := j.place()
-		if target == nil || j.acquirePermit(target) {
+		if target == nil || j.acquireInTime(target) {
 			return target, reservation, refusal
 		}
 		j.endReservation(reservation)
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -180,6 +180,7 @@
 	notExecuted   int // sends that a target reported as not executed
 	unsent        int // attempts in which no byte was sent
 	permitted     limiter.Permit
+	permitTime    time.Duration // spent on requests for permits
 	// suspect is the result of requestSuspect once suspectOnce is done.
 	suspectOnce sync.Once
 	suspect     string
--- a/request/relayer/targets.go
+++ b/request/relayer/targets.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
@@ -13,6 +14,11 @@
 // that waits for one.
 const permitPollInterval = 10 * time.Millisecond
 
+// maxPermitTime bounds the time that a request spends on requests for permits until it is
+// placed: with many limited targets, or others of this VM that ask before it, they would add
+// up, and the caller could have been refused.
+const maxPermitTime = 300 * time.Millisecond
+
 // limitedSpread is over what time callers return that were refused because all targets
 // were at their limits: the targets accept them one by one.
 const limitedSpread = time.Second
@@ -58,10 +64,14 @@
 	return targets, candidates
 }
 
-// unavailableFor returns how long until a target accepts requests from this VM again: it
-// has asked for a pause, or has reached its limit.
-func (r *Relayer) unavailableFor(t *registrar.Target) time.Duration {
-	return max(r.Pauses.Remaining(t.Instance), r.Limits.Remaining(t.Instance))
+// unavailableFor returns how long until a target accepts the request from this VM: it has
+// asked for a pause, or has reached its limit, or the request has no time left to ask for a
+// permit.
+func (j *job) unavailableFor(t *registrar.Target) time.Duration {
+	if _, limited := j.Limits.Limit(t.Instance); limited && j.permitTime >= maxPermitTime {
+		return max(defaultRetryAfter, j.Pauses.Remaining(t.Instance), j.Limits.Remaining(t.Instance))
+	}
+	return max(j.Pauses.Remaining(t.Instance), j.Limits.Remaining(t.Instance))
 }
 
 // shortestWait returns how long until the first open target of the service accepts
@@ -100,20 +110,31 @@
 
 // acquirePermit requests a permit to send the request to a target, which it needs if the
 // target is limited, and reports whether it may be sent.
-func (j *job) acquirePermit(t *registrar.Target) bool {
-	permit, granted := j.Limits.Acquire(j.ctx, t.Instance)
+func (j *job) acquirePermit(ctx context.Context, t *registrar.Target) bool {
+	permit, granted := j.Limits.Acquire(ctx, t.Instance)
 	j.permitted = permit
 	if !granted && j.ctx.Err() == nil {
 		perSecond, _ := j.Limits.Limit(t.Instance)
-		j.log.Info("target at its limit", "id", j.request.ID, "target", t.ID, "limit", perSecond, "retryMs", j.Limits.Remaining(t.Instance).Milliseconds())
+		j.log.Info("target at its limit", "id", j.request.ID, "target", t.ID, "limit", perSecond,
+			"retryMs", j.Limits.Remaining(t.Instance).Milliseconds(), "permitMs", j.permitTime.Milliseconds())
 	}
 	return granted
 }
 
+// acquireInTime is acquirePermit within maxPermitTime for all targets together.
+func (j *job) acquireInTime(t *registrar.Target) bool {
+	began := j.clock.Now()
+	ctx, cancel := context.WithTimeout(j.ctx, maxPermitTime-j.permitTime)
+	defer cancel()
+	granted := j.acquirePermit(ctx, t)
+	j.permitTime += j.clock.Now() - began
+	return granted
+}
+
 // awaitPermit requests a permit until it is granted, for at most limit.
 func (j *job) awaitPermit(t *registrar.Target, limit time.Duration) bool {
 	for until := j.clock.Now() + limit; ; {
-		if j.acquirePermit(t) {
+		if j.acquirePermit(j.ctx, t) {
 			return true
 		}
 		wait := max(permitPollInterval, j.Limits.Remaining(t.Instance))
