Relayer: the bound on asking for permits leaves out queued generations

Found by reading the diff of the last commit: a generation that queues asks again at each turn, and with grantors that take 100 ms its asks add up to 300 ms long before its latest start. From then on no limited target would have counted for it, so it would have waited in vain and been refused at its latest start.

TestQueuedPermitTime failed before (the target did not become available again); it passes now, and so does TestPermitTime.

--- a/request/relayer/targets.go
+++ b/request/relayer/targets.go
@@ -121,8 +121,12 @@
 	return granted
 }
 
-// acquireInTime is acquirePermit within maxPermitTime for all targets together.
+// acquireInTime is acquirePermit within maxPermitTime for all targets together. Generations
+// that queue have a limit of their own, the latest start.
 func (j *job) acquireInTime(t *registrar.Target) bool {
+	if j.mustQueue() {
+		return j.acquirePermit(j.ctx, t)
+	}
 	began := j.clock.Now()
 	ctx, cancel := context.WithTimeout(j.ctx, maxPermitTime-j.permitTime)
 	defer cancel()
