--- a/process/registrar/fleet_test.go
+++ b/process/registrar/fleet_test.go
@@ -297,8 +297,8 @@
 	// loseHub kills a hub right after the first change, and join is how many VMs start then.
 	loseHub bool
 	join    int
-	// turnedAway is how many VMs the store does not answer: the one that reads on behalf of
-	// its peers, and small ones.
+	// turnedAway is how many small VMs the store never answers. If there are any, it also stops
+	// answering the VM that reads on behalf of its peers, before the first change.
 	turnedAway int
 	// turnAwayReader lets the store no longer answer the VM that reads on behalf of its peers,
 	// right after the first change.
@@ -327,12 +327,12 @@
 		f.store.put(fmt.Sprintf("t/%d", i), "ready/1")
 	}
 	f.startAll(s.dataCentres, s.large, s.small)
+	for _, v := range f.all()[s.large : s.large+s.turnedAway] {
+		v.turnedAway.Store(true)
+	}
 	time.Sleep(settleTime / 2)
 	if s.turnedAway > 0 {
 		f.turnAwayReader()
-		for _, v := range f.all()[s.large : s.large+s.turnedAway-1] {
-			v.turnedAway.Store(true)
-		}
 	}
 	time.Sleep(settleTime / 2)
 	drained := 0
