--- a/review/3/main.go
+++ b/review/3/main.go
@@ -17,11 +17,17 @@
 	desks    = 3
 	callers  = 6
 	deadline = time.Second
-	// After the start of the VM's process the server leaves, and the partition heals.
-	leavesAfter = 950 * time.Millisecond
-	healsAfter  = 1450 * time.Millisecond
-	// inTouchAfter is stable_window_ms after the partition has healed, and a margin.
-	inTouchAfter = healsAfter + 3500*time.Millisecond
+	// heldAnswers is how many answers of the store the partition holds up before the server
+	// leaves: the VM gives up the first one after 0.8 s and asks once more.
+	heldAnswers = 2
+	leavesAfter = 50 * time.Millisecond
+	healsAfter  = 550 * time.Millisecond // after the server has left
+	maxWait     = 5 * time.Second
+	// calmLeavesAfter is when the server leaves without the partition.
+	calmLeavesAfter = time.Second
+	// inTouchAfter is stable_window_ms, counted from when the partition has healed, and a
+	// margin.
+	inTouchAfter = 3500 * time.Millisecond
 	// drain is drain_ms.
 	drain = 2 * time.Second
 	runs  = 12 * time.Second
@@ -66,15 +72,17 @@
 	if err := restarted.Start(); err != nil {
 		return false, err
 	}
-	began := time.Now()
-	time.Sleep(time.Until(began.Add(leavesAfter)))
+	if err := awaitMoment(c, path); err != nil {
+		return false, err
+	}
 	// The server's entry is removed; the server goes on for many seconds.
 	store.Remove("servers/desk-1")
 	left := time.Now()
 	c.Record("desk-1 has left: its entry is removed, and the store has acknowledged that")
-	time.Sleep(time.Until(began.Add(healsAfter)))
+	time.Sleep(healsAfter)
 	path.Heal()
-	time.Sleep(time.Until(began.Add(inTouchAfter)))
+	c.Record("the partition has healed")
+	time.Sleep(inTouchAfter)
 	sent := call(c, restarted)
 	var late []arrival
 	for _, e := range cluster.AllExecutions() {
@@ -87,6 +95,21 @@
 	return len(late) > 0, nil
 }
 
+// awaitMoment waits until the server is to leave.
+func awaitMoment(c *harness.Case, path *harness.Path) error {
+	if !c.Trouble {
+		time.Sleep(calmLeavesAfter)
+		return nil
+	}
+	for until := time.Now().Add(maxWait); path.HeldAnswers() < heldAnswers; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			return fmt.Errorf("the VM has not asked the store %d times", heldAnswers)
+		}
+	}
+	time.Sleep(leavesAfter)
+	return nil
+}
+
 // call sends calls to a VM, and returns when each was sent.
 func call(c *harness.Case, vm *harness.VM) map[string]time.Time {
 	var mu sync.Mutex
--- a/review/harness/path.go
+++ b/review/harness/path.go
@@ -14,6 +14,8 @@
 
 	mu   sync.Mutex
 	held chan struct{} // closed when the partition heals, nil without one
+	// answers is on how many connections something was held up.
+	answers int
 }
 
 // NewPath starts a proxy to the remote address.
@@ -40,6 +42,13 @@
 	}
 }
 
+// HeldAnswers returns on how many connections something has been held up.
+func (p *Path) HeldAnswers() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answers
+}
+
 // Heal delivers what has been held up.
 func (p *Path) Heal() {
 	p.mu.Lock()
@@ -71,11 +80,15 @@
 		out.Close()
 	}()
 	defer out.Close()
-	buffer := make([]byte, 64<<10)
+	buffer, counted := make([]byte, 64<<10), false
 	for {
 		n, err := out.Read(buffer)
 		p.mu.Lock()
 		held := p.held
+		if held != nil && n > 0 && !counted {
+			counted = true
+			p.answers++
+		}
 		p.mu.Unlock()
 		if held != nil {
 			<-held
