What others send takes bounded memory

What callers saw: an engine answered with a response head without end.

Cause: exchanger.readHead let net/http read the head of a response, which sets no limit. Ruled out: bodies and events, which had bounds. Class: whoever sends bytes decides how much is kept.

Change: a head must fit into the connection's read buffer, and bytes that can't be a head end the attempt at once; interim responses are counted; process/accountant bounds the sum of what waits to be passed on.

--- a/connection/acceptor/acceptor.go
+++ b/connection/acceptor/acceptor.go
@@ -16,12 +16,16 @@
 	"github.com/pkg/errors"
 
 	"bluebelldoor"
+	"bluebelldoor/process/accountant"
 )
 
 const (
-	// readBufferBytes is the maximum size of a request head; the limit in the
-	// active routing is lower.
-	readBufferBytes = 32 << 10
+	// readBufferBytes is the size of a connection's read buffer. It is replaced by one of
+	// maxHeadBytes for a request head that does not fit.
+	readBufferBytes = 4 << 10
+	// maxHeadBytes is the maximum size of a request head; the limit in the active routing is
+	// lower.
+	maxHeadBytes = 32 << 10
 	// The defaults apply until a routing has been loaded.
 	defaultIdleTimeout   = 15 * time.Second
 	defaultHeaderTimeout = 3 * time.Second
@@ -37,10 +41,9 @@
 )
 
 const (
-	// maxBufferedBodyBytes limits the request bodies buffered at once on all
-	// connections; bodies up to smallBodyBytes are not counted.
-	maxBufferedBodyBytes = 32 << 20
-	smallBodyBytes       = 64 << 10
+	// defaultBufferedBodyBytes limits the request bodies buffered at once on all
+	// connections, unless WithMemory sets another limit.
+	defaultBufferedBodyBytes = 32 << 20
 	// bodyLimitRetryAfter is the Retry-After sent when that limit is exceeded.
 	bodyLimitRetryAfter = 500 * time.Millisecond
 )
@@ -57,16 +60,16 @@
 
 // Acceptor serves callers on one address.
 type Acceptor struct {
-	handler           Handler
-	limits            func() bluebelldoor.CallerLimits
-	log               hclog.Logger
-	listener          net.Listener
-	draining          atomic.Bool
-	stopped           atomic.Bool
-	activeRequests    atomic.Int64
-	bufferedBodyBytes atomic.Int64
-	mu                sync.Mutex
-	conns             map[*connection]struct{}
+	handler        Handler
+	limits         func() bluebelldoor.CallerLimits
+	log            hclog.Logger
+	memory         *accountant.Accountant
+	listener       net.Listener
+	draining       atomic.Bool
+	stopped        atomic.Bool
+	activeRequests atomic.Int64
+	mu             sync.Mutex
+	conns          map[*connection]struct{}
 }
 
 // Option configures an Acceptor.
@@ -75,6 +78,9 @@
 // WithLogger sets the logger for rejected requests and accept errors.
 func WithLogger(log hclog.Logger) Option { return func(a *Acceptor) { a.log = log } }
 
+// WithMemory has memory bound the request bodies buffered at once.
+func WithMemory(memory *accountant.Accountant) Option { return func(a *Acceptor) { a.memory = memory } }
+
 // New listens on address and starts serving. limits returns the current limits.
 // The returned function closes the listener and all connections.
 func New(address string, limits func() bluebelldoor.CallerLimits, handler Handler, options ...Option) (*Acceptor, func(), error) {
@@ -82,7 +88,14 @@
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "listen for callers on %s", address)
 	}
-	a := &Acceptor{handler: handler, limits: limits, log: hclog.NewNullLogger(), listener: l, conns: map[*connection]struct{}{}}
+	a := &Acceptor{
+		handler:  handler,
+		limits:   limits,
+		log:      hclog.NewNullLogger(),
+		memory:   accountant.New(defaultBufferedBodyBytes),
+		listener: l,
+		conns:    map[*connection]struct{}{},
+	}
 	for _, set := range options {
 		set(a)
 	}
@@ -131,7 +144,7 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		c := &connection{acceptor: a, conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
+		c := &connection{acceptor: a, conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), memory: a.memory.Begin(), headMemory: a.memory.Begin()}
 		a.mu.Lock()
 		a.conns[c] = struct{}{}
 		a.mu.Unlock()
@@ -148,8 +161,8 @@
 	if l.HeaderTimeout <= 0 {
 		l.HeaderTimeout = defaultHeaderTimeout
 	}
-	if l.HeaderBytes <= 0 || l.HeaderBytes > readBufferBytes {
-		l.HeaderBytes = readBufferBytes
+	if l.HeaderBytes <= 0 || l.HeaderBytes > maxHeadBytes {
+		l.HeaderBytes = maxHeadBytes
 	}
 	if l.BodyBytes <= 0 {
 		l.BodyBytes = defaultBodyBytes
@@ -159,32 +172,27 @@
 
 // connection is one caller's connection.
 type connection struct {
-	acceptor          *Acceptor
-	conn              net.Conn
-	reader            *bufio.Reader
-	bufferedBodyBytes int64
-}
-
-// reserveBody counts a body of n bytes toward maxBufferedBodyBytes and reports
-// whether it stays within that limit.
-func (c *connection) reserveBody(n int) bool {
-	if n <= smallBodyBytes {
-		return true
-	}
-	added := int64(n) - c.bufferedBodyBytes
-	c.bufferedBodyBytes = int64(n)
-	return c.acceptor.bufferedBodyBytes.Add(added) <= maxBufferedBodyBytes
+	acceptor *Acceptor
+	conn     net.Conn
+	reader   *bufio.Reader
+	// memory is that of the request body, and headMemory that of a larger read buffer.
+	memory, headMemory *accountant.Allocation
 }
 
-// releaseBody undoes reserveBody.
-func (c *connection) releaseBody() {
-	c.acceptor.bufferedBodyBytes.Add(-c.bufferedBodyBytes)
-	c.bufferedBodyBytes = 0
+// growReader replaces the read buffer by one that holds any request head. It reports false
+// if there is no memory for that.
+func (c *connection) growReader() bool {
+	if !c.headMemory.Resize(2 * maxHeadBytes) {
+		return false
+	}
+	c.reader = bufio.NewReaderSize(c.reader, maxHeadBytes)
+	return true
 }
 
 func (c *connection) serve() {
 	defer func() {
-		c.releaseBody()
+		c.memory.End()
+		c.headMemory.End()
 		c.conn.Close()
 		c.acceptor.mu.Lock()
 		delete(c.acceptor.conns, c)
@@ -234,7 +242,7 @@
 	call := &Call{conn: c, Request: request, Body: body, idleTimeout: limits.IdleTimeout}
 	call.closeAfter = request.Close || request.ProtoMinor == 0
 	c.acceptor.handler(ctx, call)
-	c.releaseBody()
+	c.memory.End()
 	if !call.reusable() {
 		c.conn.Close()
 		<-watchDone
@@ -251,6 +259,12 @@
 // both are nil, the caller has disconnected.
 func (c *connection) readRequest(limits bluebelldoor.CallerLimits) (*http.Request, []byte, *bluebelldoor.Refusal) {
 	head, err := peekHead(c.reader, limits.HeaderBytes)
+	if errors.Is(err, bufio.ErrBufferFull) {
+		if !c.growReader() {
+			return nil, nil, bluebelldoor.NewRefusal(bluebelldoor.BodiesHeld, "no memory for a large request head").WithRetryAfter(bodyLimitRetryAfter)
+		}
+		head, err = peekHead(c.reader, limits.HeaderBytes)
+	}
 	switch {
 	case errors.Is(err, errHeadTooLarge):
 		return nil, nil, bluebelldoor.NewRefusal(bluebelldoor.HeadTooLarge, err.Error())
@@ -289,21 +303,24 @@
 	if request.ContentLength == 0 {
 		return nil, nil
 	}
-	var body []byte
+	maxBytes := limits.BodyBytes + 1
 	if request.ContentLength > 0 {
-		body = make([]byte, 0, request.ContentLength)
+		maxBytes = int(request.ContentLength)
 	}
+	// The buffer grows with the bytes that arrive: a length alone takes no memory.
+	var body []byte
 	buffer := make([]byte, 8<<10)
 	for {
 		if err := c.conn.SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
 			return nil, bluebelldoor.NewRefusal(bluebelldoor.BadRequest, err.Error())
 		}
 		n, err := request.Body.Read(buffer)
-		body = append(body, buffer[:n]...)
+		var taken bool
+		body, taken = c.memory.Append(body, buffer[:n], maxBytes)
 		switch {
 		case len(body) > limits.BodyBytes:
 			return nil, bodyTooLarge(limits)
-		case !c.reserveBody(len(body)):
+		case !taken:
 			return nil, bluebelldoor.NewRefusal(bluebelldoor.BodiesHeld, "too many large request bodies buffered").WithRetryAfter(bodyLimitRetryAfter)
 		case err == io.EOF:
 			return body, nil
--- a/connection/acceptor/acceptor_test.go
+++ b/connection/acceptor/acceptor_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -14,14 +15,15 @@
 
 	"bluebelldoor"
 	"bluebelldoor/connection/acceptor"
+	"bluebelldoor/process/accountant"
 )
 
 const connTimeout = 3 * time.Second
 
 // start starts an acceptor and returns its address.
-func start(t *testing.T, limits bluebelldoor.CallerLimits, handler acceptor.Handler) (*acceptor.Acceptor, string) {
+func start(t *testing.T, limits bluebelldoor.CallerLimits, handler acceptor.Handler, options ...acceptor.Option) (*acceptor.Acceptor, string) {
 	t.Helper()
-	a, stop, err := acceptor.New("127.0.0.1:0", func() bluebelldoor.CallerLimits { return limits }, handler)
+	a, stop, err := acceptor.New("127.0.0.1:0", func() bluebelldoor.CallerLimits { return limits }, handler, options...)
 	assert.NilError(t, err)
 	t.Cleanup(stop)
 	return a, a.Address()
@@ -169,6 +171,63 @@
 	}
 }
 
+// TestIncompleteRequests guards against callers that take a VM's memory by requests that
+// they do not complete: nothing at all, a part of a head, a large head, or the length of a body.
+func TestIncompleteRequests(t *testing.T) {
+	const conns, maxHeap = 800, 112 << 20 / 10
+	head := "POST / HTTP/1.1\r\nHost: a\r\n"
+	for name, text := range map[string]string{
+		"nothing":        "",
+		"part of a head": head + "X: " + strings.Repeat("a", 1000),
+		"announced body": head + "Content-Length: 4000000\r\n\r\na",
+		"large head":     head + "X: " + strings.Repeat("a", 20000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			memory := accountant.New(2 << 20)
+			_, address := start(t, bluebelldoor.CallerLimits{HeaderTimeout: time.Minute}, func(_ context.Context, call *acceptor.Call) {
+				_ = call.Respond(200, http.Header{}, nil)
+			}, acceptor.WithMemory(memory))
+			runtime.GC()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			for range conns {
+				_, err := io.WriteString(dial(t, address), text)
+				assert.NilError(t, err)
+			}
+			time.Sleep(200 * time.Millisecond)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			grown := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+			assert.Assert(t, grown < maxHeap, "%d bytes of heap for %d connections", grown, conns)
+			conn := dial(t, address)
+			_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			assert.NilError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, 200)
+		})
+	}
+}
+
+// TestLargeHead checks that a head beyond the read buffer is read, and the requests after it.
+func TestLargeHead(t *testing.T) {
+	_, address := start(t, bluebelldoor.CallerLimits{}, func(_ context.Context, call *acceptor.Call) {
+		_ = call.Respond(200, http.Header{}, append([]byte(call.Request.Header.Get("X")), call.Body...))
+	})
+	conn := dial(t, address)
+	br := bufio.NewReader(conn)
+	for _, size := range []int{10, 20000, 5000, 10} {
+		value := strings.Repeat("a", size)
+		_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nX: "+value+"\r\nContent-Length: 4\r\n\r\nbody")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(br, nil)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), value+"body")
+	}
+}
+
 // TestHeldBodies checks that a body that would exceed the limit on buffered
 // bodies is rejected, and that bodies are accepted again once others are done.
 func TestHeldBodies(t *testing.T) {
--- a/connection/acceptor/head.go
+++ b/connection/acceptor/head.go
@@ -18,7 +18,8 @@
 var headEnd = []byte("\r\n\r\n")
 
 // peekHead blocks until a complete request head is buffered and returns it
-// without consuming it, or errHeadTooLarge if it exceeds limit bytes.
+// without consuming it, errHeadTooLarge if it exceeds limit bytes, or bufio.ErrBufferFull if
+// it exceeds the buffer.
 func peekHead(br *bufio.Reader, limit int) ([]byte, error) {
 	scanned := 0
 	for {
--- a/connection/acceptor/head_test.go
+++ b/connection/acceptor/head_test.go
@@ -66,7 +66,7 @@
 		"only the line ends":     {"\r\n\r\n", 1000, "\r\n\r\n", false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			got, err := peekHead(bufio.NewReaderSize(oneByteReader{strings.NewReader(c.text)}, readBufferBytes), c.limit)
+			got, err := peekHead(bufio.NewReaderSize(oneByteReader{strings.NewReader(c.text)}, maxHeadBytes), c.limit)
 			assert.Equal(t, err != nil, c.fails, "%v", err)
 			assert.Equal(t, string(got), c.want)
 		})
--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -36,7 +36,8 @@
 	largeBodyBytes = 16 << 10
 	// MaxIdlePerTarget is the maximum number of idle connections per target.
 	MaxIdlePerTarget = 8
-	// readBufferBytes is the size of a connection's read buffer.
+	// readBufferBytes is the size of a connection's read buffer, which must hold the head of
+	// a response.
 	readBufferBytes = 8 << 10
 	// staleResponseTimeout limits the wait for the right response after one to
 	// another request. Targets respond to most requests within a tenth of it.
@@ -269,12 +270,18 @@
 // readHead reads the head of the response. It skips interim (1xx) responses and
 // late responses to earlier requests on the connection.
 func (r *Response) readHead(request *Request) error {
-	for stale := 0; stale <= maxStaleResponses; {
+	for stale, interim := 0, 0; stale <= maxStaleResponses; {
+		if err := awaitHead(r.conn.reader); err != nil {
+			return errors.Wrap(err, "read response")
+		}
 		response, err := http.ReadResponse(r.conn.reader, &http.Request{Method: request.Method})
 		if err != nil {
 			return errors.Wrap(err, "read response")
 		}
 		if response.StatusCode < 200 {
+			if interim++; interim > maxInterimResponses {
+				return errTooManyInterim
+			}
 			continue
 		}
 		r.httpResponse, r.head = response, r.exchanger.codec.ParseResponseHead(response)
--- a/connection/exchanger/exchanger_test.go
+++ b/connection/exchanger/exchanger_test.go
@@ -186,6 +186,33 @@
 	}
 }
 
+// TestNoHead guards against a request that waits until its deadline for the rest of a head
+// although the target has sent bytes that are none.
+func TestNoHead(t *testing.T) {
+	for name, text := range map[string]string{
+		"another protocol": "SSH-2.0-x",
+		"a digit":          "1",
+		"no status line":   "HTTP/2 200 OK\r\n",
+		"no field":         "HTTP/1.1 200 OK\r\nnoise\r\n",
+		"no field name":    "HTTP/1.1 200 OK\r\n: x\r\n",
+		"a status line":    "HTTP/1.1 200 OK\r\nHTTP/1.1 200 OK\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			instance, _ := startTarget(t, func(_ int, _ string, conn net.Conn) {
+				_, _ = io.WriteString(conn, text)
+				<-t.Context().Done()
+			})
+			x, stop := exchanger.New(platform.Codec{})
+			defer stop()
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			_, err := x.Send(ctx, instance, newRequest("r1", true))
+			assert.Assert(t, err != nil)
+			assert.NilError(t, ctx.Err())
+		})
+	}
+}
+
 // TestNothingLeft checks that a refused connection is reported as not executed.
 func TestNothingLeft(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- /dev/null
+++ b/connection/exchanger/head.go
@@ -0,0 +1,69 @@
+package exchanger
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxHeadBytes is the maximum size of the head of a response. It is that of a
+	// connection's read buffer, in which the head waits until it is complete, so that a
+	// target that sends a head without end takes no further memory.
+	maxHeadBytes = readBufferBytes
+	// maxInterimResponses is how many interim responses may precede the final one.
+	maxInterimResponses = 100
+)
+
+// protocol begins every response.
+var protocol = []byte("HTTP/1.")
+
+var (
+	errNoHead         = errors.New("target sent bytes that are no response head")
+	errHeadTooLarge   = errors.Errorf("target sent a response head of more than %d bytes", maxHeadBytes)
+	errTooManyInterim = errors.Errorf("target sent more than %d interim responses", maxInterimResponses)
+)
+
+// awaitHead blocks until a complete response head is buffered. A line that no head can have
+// is an error at once, as nothing may follow it. The error is io.ErrUnexpectedEOF if the
+// connection ends within the head.
+func awaitHead(br *bufio.Reader) error {
+	for line, start := 0, 0; ; {
+		buffered, err := br.Peek(br.Buffered())
+		if err != nil {
+			return err
+		}
+		for end := bytes.IndexByte(buffered[start:], '\n'); end >= 0; end = bytes.IndexByte(buffered[start:], '\n') {
+			text := bytes.TrimSuffix(buffered[start:start+end], []byte("\r"))
+			if line > 0 && len(text) == 0 {
+				return nil
+			}
+			if !isHeadLine(line, text) {
+				return errNoHead
+			}
+			line, start = line+1, start+end+1
+		}
+		if line == 0 && !bytes.HasPrefix(buffered, protocol[:min(len(protocol), len(buffered))]) {
+			return errNoHead
+		}
+		switch _, err := br.Peek(len(buffered) + 1); {
+		case errors.Is(err, bufio.ErrBufferFull):
+			return errHeadTooLarge
+		case errors.Is(err, io.EOF) && len(buffered) > 0:
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// isHeadLine reports whether the text can be that line of a head, counted from 0. The
+// parser checks the rest.
+func isHeadLine(line int, text []byte) bool {
+	if line == 0 {
+		return bytes.HasPrefix(text, protocol)
+	}
+	return bytes.IndexByte(text, ':') > 0 || bytes.HasPrefix(text, []byte(" ")) || bytes.HasPrefix(text, []byte("\t"))
+}
--- a/connection/listener/operator.go
+++ b/connection/listener/operator.go
@@ -15,7 +15,7 @@
 // ServeOperators serves /status, /explain/ID and /metrics at address. It returns
 // a clean-up function.
 func ServeOperators(address string, status func() any, journal *recorder.Journal, registry *prometheus.Registry) (func(), error) {
-	h := server.New(address)
+	h := server.New(address, server.WithoutBodies())
 	h.GET("/status", func(_ context.Context, c *app.RequestContext) { c.JSON(200, status()) })
 	h.GET("/explain/:id", func(_ context.Context, c *app.RequestContext) {
 		steps, known := journal.Steps(c.Param("id"))
@@ -32,7 +32,7 @@
 // ServeStatus serves /status and /metrics at address. It returns a clean-up
 // function.
 func ServeStatus(address string, status func() any, registry *prometheus.Registry) (func(), error) {
-	h := server.New(address)
+	h := server.New(address, server.WithoutBodies())
 	h.GET("/status", func(_ context.Context, c *app.RequestContext) { c.JSON(200, status()) })
 	h.GET("/metrics", metrics(registry))
 	return server.Start(h, address)
--- a/connection/server/server.go
+++ b/connection/server/server.go
@@ -17,6 +17,7 @@
 // Limits and timeouts of each server.
 const (
 	maxBodyBytes     = 4 << 20
+	maxQueryBytes    = 16 << 10
 	maxHeaderBytes   = 16 << 10
 	readTimeout      = 10 * time.Second
 	idleTimeout      = 60 * time.Second
@@ -43,18 +44,30 @@
 // Finish is called once the response is written or the connection is lost.
 func (r *requestCounter) Finish(context.Context, *app.RequestContext) { r.active.Add(-1) }
 
+// Option configures a server.
+type Option func(*options)
+
+type options struct{ maxBodyBytes int }
+
+// WithoutBodies makes the server accept only small request bodies: its routes use none.
+func WithoutBodies() Option { return func(o *options) { o.maxBodyBytes = maxQueryBytes } }
+
 // New returns a server that will listen on address. Register its routes, then
 // call Start. It uses hertz's transport based on package net, as the default
 // transport closes the listener's file descriptor twice. By the second close,
 // the descriptor may belong to another file or connection.
-func New(address string) *Server {
+func New(address string, with ...Option) *Server {
+	set := options{maxBodyBytes: maxBodyBytes}
+	for _, option := range with {
+		option(&set)
+	}
 	hlog.SetOutput(io.Discard)
 	counter := &requestCounter{}
 	return &Server{counter: counter, Hertz: server.New(
 		server.WithTracer(counter),
 		server.WithHostPorts(address),
 		server.WithTransport(standard.NewTransporter),
-		server.WithMaxRequestBodySize(maxBodyBytes),
+		server.WithMaxRequestBodySize(set.maxBodyBytes),
 		server.WithMaxHeaderBytes(maxHeaderBytes),
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout),
--- a/process/recorder/relaymetrics.go
+++ b/process/recorder/relaymetrics.go
@@ -96,6 +96,10 @@
 	FailedExchanges float64
 	// ValueBytesSent and ValueBytesReceived count the bytes of large values between VMs.
 	ValueBytesSent, ValueBytesReceived float64
+	// BufferedBytes are the bytes of bodies and events that wait until they are complete.
+	BufferedBytes float64
+	// MemoryRefused counts bodies and events for which there was no memory.
+	MemoryRefused float64
 }
 
 // RegisterGauges registers the gauges and the counter of dropped log lines; read and
@@ -118,6 +122,8 @@
 		"failed_exchanges":     {"Messages to other VMs that were not answered in time, since the start.", func(g Gauges) float64 { return g.FailedExchanges }},
 		"value_bytes_sent":     {"Bytes of large values sent to other VMs, since the start.", func(g Gauges) float64 { return g.ValueBytesSent }},
 		"value_bytes_received": {"Bytes of large values received from other VMs, since the start.", func(g Gauges) float64 { return g.ValueBytesReceived }},
+		"buffered_bytes":       {"Bytes of bodies and events that wait until they are complete.", func(g Gauges) float64 { return g.BufferedBytes }},
+		"memory_refused":       {"Bodies and events for which there was no memory, since the start.", func(g Gauges) float64 { return g.MemoryRefused }},
 	} {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: g.help}, func() float64 { return g.value(read()) }))
 	}
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -12,6 +12,7 @@
 	"bluebelldoor/connection/exchanger"
 	"bluebelldoor/connection/listener"
 	"bluebelldoor/connection/messenger"
+	"bluebelldoor/process/accountant"
 	"bluebelldoor/process/assessor"
 	"bluebelldoor/process/budgeter"
 	"bluebelldoor/process/fetcher"
@@ -37,6 +38,9 @@
 	// leavingFraction is the same fraction of LeavingWithin, the time after which
 	// a leaving target must get no more requests.
 	leavingFraction = 0.8
+	// bufferedShare is the share of the VM's memory that bodies and events may take that
+	// wait until they are complete, of callers and targets together.
+	bufferedShare = 0.25
 )
 
 // RelayAdapters connect the process of a relaying VM to external systems.
@@ -66,6 +70,7 @@
 	turner      *turner.Turner
 	limiter     *limiter.Limiter
 	parts       *quarantiner.Quarantiner
+	memory      *accountant.Accountant
 	relayer     *relayer.Relayer
 	retryBudget *budgeter.Budgeter
 	acceptor    *acceptor.Acceptor
@@ -77,6 +82,7 @@
 // immediately; for a planned stop, call Drain first.
 func NewRelay(settings *bluebelldoor.RelaySettings, adapters RelayAdapters, log hclog.Logger) (*Relay, func(), error) {
 	r := &Relay{settings: settings, adapters: adapters, log: log, lifecycle: newLifecycle(), metrics: recorder.NewRelayMetrics()}
+	r.memory = accountant.New(int64(float64(settings.MemoryMegabytes) * (1 << 20) * bufferedShare))
 	r.assessor = assessor.New(settings.Cores, settings.LinkMegabits*1e6)
 	peers := messenger.New([]byte(settings.FleetSecret))
 	r.values = fetcher.New(fetcher.Fleet{
@@ -147,6 +153,7 @@
 		Budget:  r.retryBudget,
 		Parts:   r.parts,
 		Metrics: r.metrics,
+		Memory:  r.memory,
 	}, adapters.Clock, log.Named("relayer"))
 	r.registrar.Observe(r.relayer.HandleLeaving)
 	if adapters.DroppedLines == nil {
@@ -203,7 +210,7 @@
 		func() (func(), error) { return r.adapters.ServeReady(r.settings.ReadyAddress, r.ready) },
 		func() (func(), error) { return r.adapters.ServeDirectory(r.settings.DirectoryAddress, r.resolve) },
 		func() (func(), error) {
-			a, stop, err := acceptor.New(r.settings.CallerAddress, r.callerLimits, r.relayer.Serve, acceptor.WithLogger(r.log.Named("acceptor")))
+			a, stop, err := acceptor.New(r.settings.CallerAddress, r.callerLimits, r.relayer.Serve, acceptor.WithLogger(r.log.Named("acceptor")), acceptor.WithMemory(r.memory))
 			r.acceptor = a
 			return stop, err
 		},
--- a/process/runner/relaystatus.go
+++ b/process/runner/relaystatus.go
@@ -66,6 +66,7 @@
 		ValueBytesSent: float64(r.values.Sent()), ValueBytesReceived: float64(r.values.Received()),
 		RoutingVersion: float64(s.RoutingVersion), PlatformEra: float64(s.Era), EvidenceAgeSeconds: float64(s.EvidenceAgeMs) / 1000,
 		Members: float64(len(s.Members)), Hubs: float64(len(s.Hubs)), Requests: float64(s.Requests),
+		BufferedBytes: float64(r.memory.Used()), MemoryRefused: float64(r.memory.Refused()),
 		Waiting: float64(s.Waiting), LimitedTargets: float64(s.LimitedTargets), QuarantinedParts: float64(s.QuarantinedParts),
 	}
 }
--- a/request/relayer/events.go
+++ b/request/relayer/events.go
@@ -7,6 +7,9 @@
 	idField  = []byte("id:")
 )
 
+// maxIdleEventBytes is the size above which a buffer is not kept after a large event.
+const maxIdleEventBytes = 32 << 10
+
 // eventSplitter splits a stream into complete events, so that a stream that is cut
 // within an event can continue elsewhere after the last complete one.
 type eventSplitter struct {
@@ -30,8 +33,19 @@
 	return complete
 }
 
+// sizeWith returns the size of the buffer with a further part.
+func (e *eventSplitter) sizeWith(part []byte) int {
+	return max(cap(e.partial), len(e.partial)+len(part))
+}
+
 // consume removes the n bytes that feed returned.
-func (e *eventSplitter) consume(n int) { e.partial = append(e.partial[:0], e.partial[n:]...) }
+func (e *eventSplitter) consume(n int) {
+	rest := e.partial[n:]
+	if cap(e.partial) > maxIdleEventBytes && len(rest) <= maxIdleEventBytes {
+		e.partial = nil
+	}
+	e.partial = append(e.partial[:0], rest...)
+}
 
 // dropPartial discards an incomplete event.
 func (e *eventSplitter) dropPartial() { e.partial = e.partial[:0] }
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -13,6 +13,7 @@
 	"bluebelldoor"
 	"bluebelldoor/connection/acceptor"
 	"bluebelldoor/connection/exchanger"
+	"bluebelldoor/process/accountant"
 	"bluebelldoor/process/budgeter"
 	"bluebelldoor/process/limiter"
 	"bluebelldoor/process/pauser"
@@ -23,6 +24,9 @@
 	"bluebelldoor/request/placer"
 )
 
+// defaultBufferedBytes bounds what is kept of all responses if no accountant is given.
+const defaultBufferedBytes = 16 << 20
+
 // Settings are the limits that a VM applies to relayed requests.
 type Settings struct {
 	DataCentre string
@@ -75,6 +79,8 @@
 	Budget  *budgeter.Budgeter
 	Parts   *quarantiner.Quarantiner
 	Metrics *recorder.RelayMetrics
+	// Memory bounds what is kept of responses until it can be passed on.
+	Memory *accountant.Accountant
 }
 
 // Relayer serves the requests of one VM. It is safe for concurrent use.
@@ -107,6 +113,9 @@
 	if dependencies.Parts == nil {
 		dependencies.Parts = quarantiner.New(clock, func() {}, log)
 	}
+	if dependencies.Memory == nil {
+		dependencies.Memory = accountant.New(defaultBufferedBytes)
+	}
 	r := &Relayer{
 		Dependencies:  dependencies,
 		sources:       sources,
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -10,6 +10,7 @@
 
 	"bluebelldoor"
 	"bluebelldoor/connection/exchanger"
+	"bluebelldoor/process/accountant"
 	"bluebelldoor/process/registrar"
 	"bluebelldoor/request/placer"
 )
@@ -33,6 +34,8 @@
 type stream struct {
 	job    *job
 	events eventSplitter
+	// memory is that of the incomplete event.
+	memory *accountant.Allocation
 
 	mu        sync.Mutex
 	target    *registrar.Target
@@ -101,7 +104,8 @@
 
 // forwardStream forwards events as they arrive, and continues on other engines.
 func (j *job) forwardStream(t *registrar.Target, response *exchanger.Response, reservation *placer.Reservation) {
-	s := &stream{job: j, target: t}
+	s := &stream{job: j, target: t, memory: j.Memory.Begin()}
+	defer s.memory.End()
 	j.mu.Lock()
 	j.streams[s] = struct{}{}
 	j.mu.Unlock()
@@ -251,6 +255,9 @@
 
 // forwardChunk forwards the events that a part of the response completes.
 func (s *stream) forwardChunk(part []byte, reservation *placer.Reservation) error {
+	if !s.memory.Resize(s.events.sizeWith(part)) {
+		return errNoMemory
+	}
 	complete := s.events.feed(part)
 	if len(s.events.partial)-len(complete) > maxEventBytes {
 		return errEventTooLong
@@ -268,6 +275,7 @@
 	s.forwarded = s.events.count
 	s.mu.Unlock()
 	s.events.consume(len(complete))
+	s.memory.Resize(s.events.sizeWith(nil))
 	if reservation != nil && due {
 		s.job.updateReservation(s, reservation)
 	}
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -9,6 +9,7 @@
 
 	"bluebelldoor"
 	"bluebelldoor/connection/exchanger"
+	"bluebelldoor/process/accountant"
 	"bluebelldoor/process/registrar"
 	"bluebelldoor/request/placer"
 )
@@ -29,6 +30,8 @@
 	// maxBufferedBytes is the size up to which a response is read completely
 	// before it is sent to the caller, so that a truncated one can be retried.
 	maxBufferedBytes = 256 << 10
+	// bufferedReadBytes is the size of the reads of such a response.
+	bufferedReadBytes = 4 << 10
 )
 
 var (
@@ -37,6 +40,7 @@
 	errQuarantined  = errors.New("the request or a part of its prompt is kept away from targets")
 	errNoPermit     = errors.New("target has a limit, and this VM has no valid permit")
 	errEventTooLong = errors.New("target sent an event of more than 1 MiB")
+	errNoMemory     = errors.New("no memory left for the rest of a large event")
 	errTooLarge     = errors.New("response too large to buffer")
 	errTruncated    = errors.New("response truncated")
 )
@@ -177,7 +181,9 @@
 // forwardBuffered forwards a response that is not an event stream, buffered if
 // it is small enough.
 func (j *job) forwardBuffered(t *registrar.Target, response *exchanger.Response) bool {
-	body, err := readBuffered(response)
+	memory := j.Memory.Begin()
+	defer memory.End()
+	body, err := readBuffered(response, memory)
 	switch {
 	case err == nil:
 		if response.HTTPResponse().StatusCode < http.StatusBadRequest {
@@ -203,15 +209,27 @@
 	return true
 }
 
-func readBuffered(response *exchanger.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
-	if err != nil {
-		return body, errors.Wrap(errTruncated, err.Error())
-	}
-	if len(body) == maxBufferedBytes {
-		return body, errTooLarge
+// readBuffered reads a whole body. The error is errTooLarge, with the part that has been
+// read, if the rest is too large to be kept as well.
+func readBuffered(response io.Reader, memory *accountant.Allocation) ([]byte, error) {
+	var body []byte
+	buffer := make([]byte, bufferedReadBytes)
+	for {
+		n, err := response.Read(buffer)
+		var taken bool
+		if body, taken = memory.Append(body, buffer[:n], maxBufferedBytes); !taken {
+			// What does not fit is passed on with the rest, and then forgotten.
+			return append(body, buffer[:n]...), errTooLarge
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return body, errors.Wrap(errTruncated, err.Error())
+		case len(body) >= maxBufferedBytes:
+			return body, errTooLarge
+		}
 	}
-	return body, nil
 }
 
 // forwardLarge forwards a response as it arrives, starting with the buffered part.
