Heads: at most 200 lines; a refused caller takes no further buffer

Cause: a head of 16 KB can hold 3,000 short fields, of which each takes over a hundred bytes once it is parsed, for as long as the request lasts; the bound on bytes alone leaves that to the sender. Change: callers' and targets' heads have 200 lines at most (431 for callers, a failed attempt for targets). TestPeekHead has both sides of the limit.

--- a/connection/acceptor/acceptor.go
+++ b/connection/acceptor/acceptor.go
@@ -309,7 +309,7 @@
 	}
 	// The buffer grows with the bytes that arrive: a length alone takes no memory.
 	var body []byte
-	buffer := make([]byte, 8<<10)
+	buffer := make([]byte, readBufferBytes)
 	for {
 		if err := c.conn.SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
 			return nil, bluebelldoor.NewRefusal(bluebelldoor.BadRequest, err.Error())
@@ -349,5 +349,5 @@
 	if !ok || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return
 	}
-	_, _ = io.CopyN(io.Discard, tcp, maxLingerBytes) // best effort
+	_, _ = c.reader.Discard(maxLingerBytes) // best effort
 }
--- a/connection/acceptor/head.go
+++ b/connection/acceptor/head.go
@@ -15,10 +15,14 @@
 	errAmbiguous    = errors.New("ambiguous request framing")
 )
 
+// maxHeadLines limits the lines of a head: a parsed field takes many times the bytes of a short
+// line.
+const maxHeadLines = 200
+
 var headEnd = []byte("\r\n\r\n")
 
 // peekHead blocks until a complete request head is buffered and returns it
-// without consuming it, errHeadTooLarge if it exceeds limit bytes, or bufio.ErrBufferFull if
+// without consuming it, errHeadTooLarge if it exceeds limit bytes or maxHeadLines, or bufio.ErrBufferFull if
 // it exceeds the buffer.
 func peekHead(br *bufio.Reader, limit int) ([]byte, error) {
 	scanned := 0
@@ -32,7 +36,7 @@
 		headLen := from + end + len(headEnd)
 		scanned = len(buffered)
 		switch {
-		case end >= 0 && headLen <= limit:
+		case end >= 0 && headLen <= limit && bytes.Count(buffered[:headLen], []byte("\n")) <= maxHeadLines:
 			return buffered[:headLen], nil
 		case end >= 0 || scanned >= limit:
 			return nil, errHeadTooLarge
--- a/connection/acceptor/head_test.go
+++ b/connection/acceptor/head_test.go
@@ -50,6 +50,7 @@
 
 func TestPeekHead(t *testing.T) {
 	head := "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	many := "GET / HTTP/1.1\r\n" + strings.Repeat("X: 1\r\n", 190) + "\r\n"
 	for name, c := range map[string]struct {
 		text  string
 		limit int
@@ -60,6 +61,8 @@
 		"a head and a body":      {head + "body", 1000, head, false},
 		"two heads":              {head + head, 1000, head, false},
 		"larger than limit":      {"GET / HTTP/1.1\r\nX: " + strings.Repeat("a", 200) + "\r\n\r\n", 100, "", true},
+		"many fields":            {many, 4000, many, false},
+		"too many fields":        {"GET / HTTP/1.1\r\n" + strings.Repeat("X: 1\r\n", 200) + "\r\n", 4000, "", true},
 		"truncated":              {head[:10], 1000, "", true},
 		"empty":                  {"", 1000, "", true},
 		"ends in the final CRLF": {head[:len(head)-1], 1000, "", true},
--- a/connection/exchanger/endless_test.go
+++ b/connection/exchanger/endless_test.go
@@ -29,8 +29,8 @@
 
 // endless sends prefix and then part again and again until the connection ends.
 func endless(conn net.Conn, prefix, part string) {
-	chunk := strings.Repeat(part, max(1, 64<<10/len(part)))
-	for _, err := io.WriteString(conn, prefix); err == nil; _, err = io.WriteString(conn, chunk) {
+	chunk := []byte(strings.Repeat(part, max(1, 64<<10/len(part))))
+	for _, err := io.WriteString(conn, prefix); err == nil; _, err = conn.Write(chunk) {
 	}
 }
 
--- a/connection/exchanger/head.go
+++ b/connection/exchanger/head.go
@@ -13,6 +13,9 @@
 	// connection's read buffer, in which the head waits until it is complete, so that a
 	// target that sends a head without end takes no further memory.
 	maxHeadBytes = readBufferBytes
+	// maxHeadLines limits the lines of a head: a parsed field takes many times the bytes of a
+	// short line.
+	maxHeadLines = 200
 	// maxInterimResponses is how many interim responses may precede the final one.
 	maxInterimResponses = 100
 )
@@ -22,7 +25,7 @@
 
 var (
 	errNoHead         = errors.New("target sent bytes that are no response head")
-	errHeadTooLarge   = errors.Errorf("target sent a response head of more than %d bytes", maxHeadBytes)
+	errHeadTooLarge   = errors.Errorf("target sent a response head of more than %d bytes or %d lines", maxHeadBytes, maxHeadLines)
 	errTooManyInterim = errors.Errorf("target sent more than %d interim responses", maxInterimResponses)
 )
 
@@ -40,8 +43,11 @@
 			if line > 0 && len(text) == 0 {
 				return nil
 			}
-			if !isHeadLine(line, text) {
+			switch {
+			case !isHeadLine(line, text):
 				return errNoHead
+			case line >= maxHeadLines:
+				return errHeadTooLarge
 			}
 			line, start = line+1, start+end+1
 		}
--- a/connection/server/endless_test.go
+++ b/connection/server/endless_test.go
@@ -37,7 +37,7 @@
 			stop, err := server.Start(s, address)
 			assert.NilError(t, err)
 			defer stop()
-			chunk := strings.Repeat(c.part, 4<<10)
+			chunk := []byte(strings.Repeat(c.part, 4<<10))
 			runtime.GC()
 			var before, now runtime.MemStats
 			runtime.ReadMemStats(&before)
@@ -50,8 +50,8 @@
 					defer conn.Close()
 					assert.Check(t, conn.SetDeadline(deadline) == nil)
 					_, err = io.WriteString(conn, c.prefix)
-					for err == nil && chunk != "" {
-						_, err = io.WriteString(conn, chunk)
+					for err == nil && len(chunk) > 0 {
+						_, err = conn.Write(chunk)
 					}
 					_, _ = io.Copy(io.Discard, conn)
 				})
