A response that only its close ends is reset if the VM ends

What callers saw: a stream without length and chunks looked complete when its VM stopped, at the end of a planned stop or by a signal. Cause: the stop closes the connections of callers, which sends a FIN; only Abort set the linger time that makes it a reset, and the connection was closed by then. Ruled out: chunked responses, which lack their last chunk. Change: such a response resets its connection on any close, that of a killed process too, until it is complete. Evidence: TestStopTruncates failed before (close-delimited) and passes.

--- a/connection/acceptor/acceptor_test.go
+++ b/connection/acceptor/acceptor_test.go
@@ -131,6 +131,34 @@
 	}
 }
 
+// TestStopTruncates guards against a VM whose end makes a response that has begun look
+// complete, above all one that only the close of its connection ends.
+func TestStopTruncates(t *testing.T) {
+	for name, framed := range map[string]bool{"chunked": true, "close-delimited": false} {
+		t.Run(name, func(t *testing.T) {
+			begun, ended := make(chan struct{}), make(chan struct{})
+			defer close(ended)
+			a, stop, err := acceptor.New("127.0.0.1:0", func() bluebelldoor.CallerLimits { return bluebelldoor.CallerLimits{} },
+				func(_ context.Context, call *acceptor.Call) {
+					_ = call.Begin(200, http.Header{}, framed)
+					_ = call.Write([]byte("part"))
+					close(begun)
+					<-ended
+				})
+			assert.NilError(t, err)
+			conn := dial(t, a.Address())
+			_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			assert.NilError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			<-begun
+			stop()
+			_, err = io.ReadAll(response.Body)
+			assert.Assert(t, err != nil, "the response looks complete")
+		})
+	}
+}
+
 // TestCallerLeaves checks that the request context is cancelled when the caller
 // closes its connection.
 func TestCallerLeaves(t *testing.T) {
--- a/connection/acceptor/call.go
+++ b/connection/acceptor/call.go
@@ -74,6 +74,9 @@
 	var b bytes.Buffer
 	if !c.chunked {
 		c.closeAfter = true
+		// Until the response is complete, any close must be a reset, that of a process that is
+		// killed too: only a reset marks a close-delimited response as truncated.
+		c.setLinger(0)
 	}
 	c.writeHead(&b, status, header)
 	if c.chunked {
@@ -109,6 +112,7 @@
 	}
 	c.state = finished
 	if !c.chunked {
+		c.setLinger(-1)
 		return nil
 	}
 	return c.write([]byte("0\r\n\r\n"))
@@ -118,13 +122,19 @@
 // without the last chunk, or with a reset if the response is not chunked.
 func (c *Call) Abort() {
 	c.state = failed
-	if tcp, ok := c.conn.conn.(*net.TCPConn); ok && !c.chunked {
-		// A close-delimited response ends with FIN; only RST marks it as truncated.
-		_ = tcp.SetLinger(0)
+	if !c.chunked {
+		c.setLinger(0)
 	}
 	c.conn.conn.Close()
 }
 
+// setLinger sets how the connection closes: 0 resets it, -1 sends what is left.
+func (c *Call) setLinger(seconds int) {
+	if tcp, ok := c.conn.conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(seconds) // fails only on a closed connection
+	}
+}
+
 // writeHead writes the status line and header fields to b. The connection
 // header fields are set here, not by the handler.
 func (c *Call) writeHead(b *bytes.Buffer, status int, header http.Header) {
