A response that a target closes at the deadline is not complete

What callers saw: a stream without length and chunks ended as complete when the target stopped at the request's deadline. Cause: its close was taken for the end. Change: a close at the deadline is an error.

--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -42,6 +42,9 @@
 	// staleResponseTimeout limits the wait for the right response after one to
 	// another request. Targets respond to most requests within a tenth of it.
 	staleResponseTimeout = 500 * time.Millisecond
+	// deadlineMargin is how long before a request's deadline a target may end its response
+	// because of it. The target learns the time that is left, in whole milliseconds.
+	deadlineMargin = 20 * time.Millisecond
 	// maxStaleResponses is how many responses to other requests are skipped
 	// before the connection is closed.
 	maxStaleResponses = 2
@@ -212,7 +215,7 @@
 		x.putIdle(t, c, 0, request.MaxIdle)
 		return nil, err
 	}
-	response := &Response{exchanger: x, target: t, conn: c, maxIdle: request.MaxIdle, writeResult: make(chan error, 1)}
+	response := &Response{ctx: ctx, exchanger: x, target: t, conn: c, maxIdle: request.MaxIdle, writeResult: make(chan error, 1)}
 	response.stopWatch = context.AfterFunc(ctx, func() { c.conn.Close() })
 	if err := response.roundTrip(request); err != nil {
 		response.Close()
@@ -221,10 +224,14 @@
 	return response, nil
 }
 
+var errDeadlineClose = errors.New("target closed a response without framing as its time ran out")
+
 var errWrongRequestID = errors.New("the response carries another request's ID, or none")
 
 // Response is a target's response whose head has been read.
 type Response struct {
+	// ctx is that of the request.
+	ctx       context.Context
 	exchanger *Exchanger
 	target    *bluebelldoor.Instance
 	conn      *pooledConn
@@ -322,12 +329,23 @@
 // Read reads the body. It returns io.EOF only if the response is complete.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.httpResponse.Body.Read(p)
-	if err == io.EOF {
-		r.recycle()
+	if err != io.EOF {
+		return n, err
+	}
+	if r.CloseDelimited() && r.deadlineReached() {
+		return n, errDeadlineClose
 	}
+	r.recycle()
 	return n, err
 }
 
+// deadlineReached reports whether the target may have ended the response because of the
+// request's deadline.
+func (r *Response) deadlineReached() bool {
+	deadline, ok := r.ctx.Deadline()
+	return r.ctx.Err() != nil || ok && time.Until(deadline) < deadlineMargin
+}
+
 // CloseDelimited reports whether the response is close-delimited.
 func (r *Response) CloseDelimited() bool {
 	return r.httpResponse.ContentLength < 0 && len(r.httpResponse.TransferEncoding) == 0
