The close of a stream that the VM has stopped does not complete it

Cause: forwardResponse took the close for the end without asking whether the VM had itself had the generation stopped for a copy. Ruled out: the copy (it was made and not used), the engine (it closes as the protocol says).

Change: while a last copy may have stopped the generation, its answer is awaited; only if it shows that nothing was stopped the close is the end.

--- a/process/runner/moves_test.go
+++ b/process/runner/moves_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"runtime"
 	"strings"
@@ -112,6 +113,83 @@
 	}
 }
 
+// TestRelayEndings guards against a stream that was cut and looks complete, and against one that
+// was complete and looks cut, for each way in which a stream may end and each way in which its
+// end may be marked. The moment of the end is drawn at random.
+func TestRelayEndings(t *testing.T) {
+	const events = 60
+	type ending struct {
+		act      func(t *testing.T, f *relayFleet, source *lender.Target)
+		deadline string
+		complete bool
+		moved    bool
+	}
+	leave := func(_ *testing.T, _ *relayFleet, source *lender.Target) { source.Register("draining") }
+	addDestination := func(t *testing.T, f *relayFleet) {
+		t.Helper()
+		t.Cleanup(f.targets.Add("engine-2", "engine", "dc-0").Stop)
+		await(t, "the other engine is known", func() bool { return f.vms[0].Status().Revision >= f.store.Revision() })
+	}
+	for name, c := range map[string]ending{
+		"by itself":                        {act: func(*testing.T, *relayFleet, *lender.Target) {}, complete: true},
+		"the engine leaves, nowhere to go": {act: leave, complete: true},
+		"moved": {act: func(t *testing.T, f *relayFleet, source *lender.Target) {
+			addDestination(t, f)
+			source.Register("draining")
+		}, complete: true, moved: true},
+		"stays where it stopped": {act: func(t *testing.T, f *relayFleet, source *lender.Target) {
+			addDestination(t, f)
+			source.FailFinalCopies(http.StatusServiceUnavailable)
+			source.Register("draining")
+		}, complete: true},
+		"answer to the last copy lost": {act: func(t *testing.T, f *relayFleet, source *lender.Target) {
+			addDestination(t, f)
+			source.LoseFinalCopies()
+			source.Register("draining")
+		}, complete: false},
+		"last copy refused, not stopped": {act: func(t *testing.T, f *relayFleet, source *lender.Target) {
+			addDestination(t, f)
+			source.FailFinalCopies(http.StatusNotFound)
+			source.Register("draining")
+		}, complete: true},
+		"deadline":    {act: func(*testing.T, *relayFleet, *lender.Target) {}, deadline: "400", complete: false},
+		"the VM ends": {act: func(_ *testing.T, f *relayFleet, _ *lender.Target) { f.vms[0].stop() }, complete: false},
+	} {
+		for _, behaviour := range []lender.Behaviour{lender.Serve, lender.UnframedPaced} {
+			t.Run(name+" "+string(behaviour), func(t *testing.T) {
+				t.Parallel()
+				f, source := startEngine(t)
+				f.targets.SetBehaviour(func(r *http.Request) lender.Behaviour {
+					if r.Header.Get("Token-Count") != "" {
+						return behaviour
+					}
+					return lender.Serve
+				})
+				got := make(chan callerResponse, 1)
+				go func() { got <- f.vms[0].generateWithin(t, streamPath, "ends", events, c.deadline) }()
+				f.awaitRun(t, "ends")
+				time.Sleep(time.Duration(rand.IntN(100)) * time.Millisecond)
+				c.act(t, f, source)
+				a := <-got
+				if c.complete {
+					assertSingleRun(t, a, events)
+				} else {
+					assert.Assert(t, !a.complete, "a stream that was cut looks complete: %d events", strings.Count(a.body, "id: "))
+				}
+				if c.moved {
+					assert.Equal(t, len(f.targets.Executions("ends")), 2)
+				}
+			})
+		}
+	}
+}
+
+// awaitRun waits until a target runs a request.
+func (f *relayFleet) awaitRun(t *testing.T, id string) {
+	t.Helper()
+	await(t, "the stream runs", func() bool { return len(f.targets.Executions(id)) > 0 })
+}
+
 // TestRelayEndlessEvent guards against a target that sends an event without end: the VM held
 // all of it in memory.
 func TestRelayEndlessEvent(t *testing.T) {
--- a/process/runner/relay_test.go
+++ b/process/runner/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -253,7 +254,14 @@
 // generate requests a stream with the given number of events.
 func (r *relayVM) generate(t *testing.T, path, id string, events int) callerResponse {
 	t.Helper()
-	return r.send(t, http.MethodPost, path, id, map[string]string{"Token-Count": fmt.Sprintf("100,%d", events), "Deadline-Ms": "20000"})
+	return r.generateWithin(t, path, id, events, "")
+}
+
+// generateWithin is generate with a deadline in milliseconds, 20 s if it is empty.
+func (r *relayVM) generateWithin(t *testing.T, path, id string, events int, deadline string) callerResponse {
+	t.Helper()
+	header := map[string]string{"Token-Count": fmt.Sprintf("100,%d", events), "Deadline-Ms": cmp.Or(deadline, "20000")}
+	return r.send(t, http.MethodPost, path, id, header)
 }
 
 func (f *relayFleet) awaitReady(t *testing.T) {
--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"time"
 
@@ -233,14 +234,22 @@
 		m.copyID, m.target, m.reservation = copyErr.StoppedCopyID, source, nil
 		lifecycle.fire(keptAtSource)
 	default:
+		m.running = notStopped(err)
 		j.endReservation(reservation)
-		j.log.Warn("last copy failed", "id", j.request.ID, "source", source.ID, "target", destination.ID, "error", err)
+		j.log.Warn("last copy failed", "id", j.request.ID, "source", source.ID, "target", destination.ID, "stopped", !m.running, "error", err)
 		lifecycle.fire(lastCopyFailed)
 	}
 	j.log.Info("generation copied", "id", j.request.ID, "source", source.ID, "target", destination.ID,
 		"firstMs", took.Milliseconds(), "bothMs", (j.clock.Now() - began).Milliseconds(), "events", last.Events, "copied", m.copyID)
 }
 
+// notStopped reports whether the error of a last copy shows that it has not stopped the
+// generation: it was not asked for, or the generation had ended.
+func notStopped(err error) bool {
+	var copyErr *bluebelldoor.CopyError
+	return errors.Is(err, errPaused) || errors.As(err, &copyErr) && copyErr.Status == http.StatusNotFound
+}
+
 // startMove sets the move from which the stream continues when its source ends
 // it. It returns false if the stream no longer runs on the source.
 func (s *stream) startMove(m *move, source *registrar.Target) bool {
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -66,6 +66,8 @@
 	target      *registrar.Target
 	copyID      string
 	reservation *placer.Reservation
+	// running is set if the last copy certainly did not stop the generation.
+	running bool
 }
 
 func (j *job) endReservation(reservation *placer.Reservation) {
@@ -190,9 +192,8 @@
 				return writeErr
 			}
 		}
-		if errors.Is(err, io.EOF) && response.CloseDelimited() && (len(s.events.partial) > 0 || s.forwarded == eventsBefore) {
-			// Only the events themselves show that a response without framing was cut.
-			err = errTruncated
+		if errors.Is(err, io.EOF) && response.CloseDelimited() {
+			err = s.checkClose(eventsBefore)
 		}
 		if errors.Is(err, io.EOF) {
 			if rest := s.events.partial; len(rest) > 0 {
@@ -211,6 +212,37 @@
 	}
 }
 
+// checkClose returns io.EOF if the close of a response without framing ends the stream, or
+// why it does not. Only the events and what the VM itself has asked for show that such a
+// response was cut.
+func (s *stream) checkClose(eventsBefore int) error {
+	switch {
+	case len(s.events.partial) > 0 || s.forwarded == eventsBefore:
+		return errTruncated
+	case s.stoppedForCopy():
+		return errStopped
+	}
+	return io.EOF
+}
+
+// stoppedForCopy reports whether a last copy may have stopped the generation. It waits for the
+// answer to the last copy.
+func (s *stream) stoppedForCopy() bool {
+	s.mu.Lock()
+	m := s.move
+	s.mu.Unlock()
+	if m == nil {
+		return false
+	}
+	select {
+	case <-m.done:
+		return !m.running
+	case <-time.After(lastCopyTimeout):
+	case <-s.job.ctx.Done():
+	}
+	return true
+}
+
 // recordTiming records when events were forwarded.
 func (s *stream) recordTiming() {
 	now := s.job.clock.Now()
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -43,6 +43,7 @@
 	errNoMemory     = errors.New("no memory left for the rest of a large event")
 	errTooLarge     = errors.New("response too large to buffer")
 	errTruncated    = errors.New("response truncated")
+	errStopped      = errors.New("the generation was stopped for a copy")
 )
 
 // attempt sends the request to a target and reports whether the caller has its
--- a/standin/lender/stream.go
+++ b/standin/lender/stream.go
@@ -29,9 +29,13 @@
 		t.mu.Unlock()
 	}()
 	w.Header().Set("Content-Type", "text/event-stream")
-	if behaviour == Unframed || behaviour == UnframedCut || behaviour == UnframedEmpty {
+	switch behaviour {
+	case Unframed, UnframedCut, UnframedEmpty:
 		t.streamUnframed(w, g, behaviour)
 		return
+	case UnframedPaced:
+		t.streamPaced(w, r, g)
+		return
 	}
 	w.WriteHeader(http.StatusOK)
 	w.(http.Flusher).Flush()
@@ -106,6 +110,47 @@
 	}
 }
 
+// streamPaced sends a stream that ends with its connection, and closes it in the same way when
+// a final copy stops the generation or the deadline of the request passes.
+func (t *Target) streamPaced(w http.ResponseWriter, r *http.Request, g *generation) {
+	deadline := time.Hour
+	if ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
+		deadline = time.Duration(ms) * time.Millisecond
+	}
+	passed := time.After(deadline)
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	var head strings.Builder
+	_ = w.Header().Write(&head)
+	_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head.String()+"Connection: close\r\n\r\n")
+	for err == nil {
+		select {
+		case <-g.stop:
+			return
+		case <-passed:
+			return
+		case <-time.After(eventInterval):
+		}
+		t.mu.Lock()
+		stopped := g.stopped
+		if !stopped && g.sent < g.events {
+			g.sent++
+		}
+		n := g.sent
+		t.mu.Unlock()
+		if stopped || r.Context().Err() != nil {
+			return
+		}
+		_, err = fmt.Fprintf(conn, "id: %d\ndata: %s %s\n\n", n, g.execution, strings.Repeat("x", 20))
+		if n >= g.events {
+			return
+		}
+	}
+}
+
 // floodBytes is the length of an event of a target that is Endless.
 const floodBytes = 64 << 20
 
--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -33,6 +33,7 @@
 	Unframed       Behaviour = "unframed"      // a stream with neither length nor chunks
 	UnframedCut    Behaviour = "unframedCut"   // the same, ended inside its second event
 	UnframedEmpty  Behaviour = "unframedEmpty" // the same, ended before its first event
+	UnframedPaced  Behaviour = "unframedPaced" // the same, at the pace of other streams; it closes where others break off
 	Endless        Behaviour = "endless"       // begin a stream and send one event of floodBytes
 	Stall          Behaviour = "stall"         // begin a stream and send no event
 	Crash          Behaviour = "crash"         // begin a stream, then end every request and stay away for a while
@@ -113,6 +114,7 @@
 	crashes         []time.Time
 	downUntil       time.Time
 	copyStatus      int                    // error status of all copies, 0 for none
+	loseFinalCopies bool                   // final copies stop the generation and get no answer
 	finalCopyStatus int                    // error status of final copies, 0 for none
 	active          map[string]*generation // by ID
 	leaving         bool
@@ -286,6 +288,13 @@
 	t.finalCopyStatus = status
 }
 
+// LoseFinalCopies makes final copies from the target stop the generation and get no answer.
+func (t *Target) LoseFinalCopies() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loseFinalCopies = true
+}
+
 // Stop ends the target as a crash would, closing its connections.
 func (t *Target) Stop() {
 	t.server.CloseClientConnections()
@@ -445,7 +454,7 @@
 		return
 	}
 	t.mu.Lock()
-	g, status := t.active[request.ID], t.copyStatus
+	g, status, lose := t.active[request.ID], t.copyStatus, request.Final && t.loseFinalCopies
 	if request.Final {
 		status = cmp.Or(status, t.finalCopyStatus)
 	}
@@ -472,6 +481,9 @@
 		t.cluster.stopped[t.Address()+"/"+handle] = g
 		t.cluster.mu.Unlock()
 	}
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
 	if status != 0 {
 		w.WriteHeader(status)
 		if !request.Final {
