A late reply of the store no longer brings a removed record back

Cause: a reply that was sent before the removal arrived after a peer had told the removal. Records were compared with what is held, and a removed record is not held; the position stayed, so no watch told the removal again. Ruled out: peers' states, the store. Class: sources of records race.

Change: a record that is not newer than the position and not held has been removed since, whatever its source; a full reply older than the position removes nothing.

--- a/process/registrar/book.go
+++ b/process/registrar/book.go
@@ -117,6 +117,9 @@
 	}
 	taken, dropped := 0, 0
 	for _, r := range s.prepareRecords(p) {
+		if s.wasRemoved(r, p) {
+			continue
+		}
 		before := s.records[r.Key].Position()
 		changed = s.applyRecord(r, now) || changed
 		switch after := s.records[r.Key].Position(); {
@@ -149,6 +152,15 @@
 	return changed
 }
 
+// wasRemoved reports whether the VM knows that a record of a response has been removed since:
+// it holds every record up to its position, and this one, which is older, not. Sources race,
+// and a response that was sent earlier may arrive after the changes that followed it.
+func (s *state) wasRemoved(r bluebelldoor.Record, p bluebelldoor.CatalogueReply) bool {
+	_, held := s.records[r.Key]
+	overtaken := !p.Full || s.position.After(p.Position())
+	return !held && !r.Removed && !s.restoring && overtaken && !r.Position().After(s.position)
+}
+
 // prepareRecords returns the records of a response in the order in which to apply them, and
 // updates the era of held records that the response shows unchanged.
 func (s *state) prepareRecords(p bluebelldoor.CatalogueReply) []bluebelldoor.Record {
@@ -178,6 +190,10 @@
 
 // missing returns removals of the records that are held and not in a full response.
 func (s *state) missing(p bluebelldoor.CatalogueReply) []bluebelldoor.Record {
+	if s.position.After(p.Position()) && !s.restoring {
+		// What is held has been so since.
+		return nil
+	}
 	present := map[string]bool{}
 	for _, r := range p.Records {
 		present[r.Key] = true
--- a/process/registrar/catalogue_test.go
+++ b/process/registrar/catalogue_test.go
@@ -197,22 +197,40 @@
 	return t != nil && v.View().AcceptsNewWork(t.Instance)
 }
 
-// linkedCatalogue is a catalogue behind a link that may be cut.
+// linkedCatalogue is a catalogue behind a link that may be cut, or delay replies.
 type linkedCatalogue struct {
 	bluebelldoor.Catalogue
 	cut atomic.Bool
+	// delay is the time that each reply takes, in nanoseconds.
+	delay atomic.Int64
+}
+
+// receive returns a reply once it has arrived.
+func (c *linkedCatalogue) receive(ctx context.Context, reply bluebelldoor.CatalogueReply, err error) (bluebelldoor.CatalogueReply, error) {
+	delay := time.Duration(c.delay.Load())
+	if delay == 0 {
+		return reply, err
+	}
+	select {
+	case <-time.After(delay):
+		return reply, err
+	case <-ctx.Done():
+		return bluebelldoor.CatalogueReply{}, ctx.Err()
+	}
 }
 
 func (c *linkedCatalogue) Read(ctx context.Context) (bluebelldoor.CatalogueReply, error) {
 	if c.cut.Load() {
 		return bluebelldoor.CatalogueReply{}, errors.New("cut off")
 	}
-	return c.Catalogue.Read(ctx)
+	reply, err := c.Catalogue.Read(ctx)
+	return c.receive(ctx, reply, err)
 }
 
 func (c *linkedCatalogue) Watch(ctx context.Context, after bluebelldoor.Position, wait time.Duration) (bluebelldoor.CatalogueReply, error) {
 	if c.cut.Load() {
 		return bluebelldoor.CatalogueReply{}, errors.New("cut off")
 	}
-	return c.Catalogue.Watch(ctx, after, wait)
+	reply, err := c.Catalogue.Watch(ctx, after, wait)
+	return c.receive(ctx, reply, err)
 }
--- a/process/registrar/history_test.go
+++ b/process/registrar/history_test.go
@@ -95,6 +95,8 @@
 	targets int
 	copied  *backup
 	copyAge int
+	// slow makes links delay replies of the store for longer than peers' messages take.
+	slow bool
 	// rewriteIn is in how many steps what a restore lost is written again.
 	rewriteIn int
 	log       []string
@@ -146,6 +148,7 @@
 		v.link.Catalogue = withoutEras{h.store}
 	}
 	v.link.cut.Store(cut)
+	h.slowDown(v)
 	var options []registrar.Option
 	if v.values = nil; h.large && !v.old {
 		v.values = newKeeper()
@@ -155,6 +158,15 @@
 	v.version, v.ended, v.judged = 0, map[string]bool{}, 0
 }
 
+// slowDown draws how long replies of the store to a VM take.
+func (h *history) slowDown(v *historyVM) {
+	if h.slow && h.random.IntN(2) == 0 {
+		v.link.delay.Store(int64(time.Duration(h.random.IntN(15)) * historyStep))
+		return
+	}
+	v.link.delay.Store(0)
+}
+
 // targetsIn returns the keys of the targets that are in a state.
 func (h *history) targetsIn(state string) []string {
 	var out []string
@@ -200,6 +212,7 @@
 	case n < 90:
 		v := h.vms[h.random.IntN(len(h.vms))]
 		v.link.cut.Store(h.random.IntN(2) == 0)
+		h.slowDown(v)
 	case n < 93:
 		v := h.vms[h.random.IntN(len(h.vms))]
 		v.isolated = h.random.IntN(2) == 0
@@ -352,19 +365,23 @@
 func TestRestoreHistories(t *testing.T) {
 	seeds := historySeeds(t)
 	for name, c := range map[string]struct {
-		old, large bool
-		vms        int
+		old, large, slow bool
+		vms              int
 	}{
-		"one VM":                               {false, false, 1},
-		"four VMs":                             {false, false, 4},
-		"a build before eras":                  {true, false, 4},
-		"four VMs, large values":               {false, true, 4},
-		"a build before eras and large values": {true, true, 4},
+		"one VM":                               {false, false, false, 1},
+		"four VMs":                             {false, false, false, 4},
+		"a build before eras":                  {true, false, false, 4},
+		"four VMs, large values":               {false, true, false, 4},
+		"a build before eras and large values": {true, true, false, 4},
+		// Replies of the store race with peers' messages: an older one may come last.
+		"late replies":                      {false, false, true, 4},
+		"late replies, large values":        {false, true, true, 4},
+		"late replies, a build before eras": {true, false, true, 4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for _, seed := range seeds {
 				t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) { playHistory(t, seed, c.vms, c.old, c.large) })
+					synctest.Test(t, func(t *testing.T) { playHistory(t, seed, c.vms, c.old, c.large, c.slow) })
 				})
 			}
 		})
@@ -394,8 +411,8 @@
 	return n
 }
 
-func playHistory(t *testing.T, seed uint64, vms int, old, large bool) {
-	h := &history{t: t, large: large, random: rand.New(rand.NewPCG(seed, 7)), store: newCatalogue(), truth: map[string]string{}}
+func playHistory(t *testing.T, seed uint64, vms int, old, large, slow bool) {
+	h := &history{t: t, large: large, slow: slow, random: rand.New(rand.NewPCG(seed, 7)), store: newCatalogue(), truth: map[string]string{}}
 	h.store.era = 1
 	for range vms {
 		h.vms = append(h.vms, &historyVM{})
@@ -415,6 +432,7 @@
 	}
 	for _, v := range h.vms {
 		v.link.cut.Store(false)
+		v.link.delay.Store(0)
 		v.isolated = false
 	}
 	for range historySettle / historyStep {
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -329,6 +329,58 @@
 	})
 }
 
+// TestOlderReply guards against a target that is in use again, for good, because a reply of the
+// store that was sent before its removal arrives after a peer has told the removal.
+func TestOlderReply(t *testing.T) {
+	for name, c := range map[string]struct {
+		full  bool // the late reply is a full one, else a watch's
+		known bool // the VM had the target in use before
+	}{
+		"full read of a VM that starts": {true, false},
+		"full read after lost history":  {true, true},
+		"watch":                         {false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const delay = 1500 * time.Millisecond
+				store := newCatalogue()
+				store.put("t/x", "ready")
+				if !c.full {
+					store.put("t/x", "")
+				}
+				peer := start(t, store, true)
+				link := &linkedCatalogue{Catalogue: store}
+				if c.full && !c.known {
+					link.delay.Store(int64(delay))
+				}
+				v := start(t, link, true)
+				synctest.Wait()
+				link.delay.Store(int64(delay))
+				switch {
+				case !c.full:
+					time.Sleep(time.Second)
+					store.put("t/x", "ready/2")
+				case c.known:
+					store.mu.Lock()
+					store.historyLost = true
+					store.mu.Unlock()
+					store.put("t/y", "ready")
+					time.Sleep(time.Second)
+				}
+				time.Sleep(1250 * time.Millisecond)
+				store.put("t/x", "")
+				time.Sleep(100 * time.Millisecond)
+				exchange(t, v, peer)
+				link.delay.Store(0)
+				time.Sleep(5 * time.Second)
+				synctest.Wait()
+				assert.Equal(t, v.Position(), peer.Position())
+				assert.Assert(t, !v.open("x"), "the target has left and is in use")
+			})
+		})
+	}
+}
+
 // TestRemovalsBeforeFullRead guards against DRAIN: a VM that had read everything, at its
 // start or after the platform had lost its history, passed changes on without the removals
 // before, and targets that had left stayed in use on its peers for good.
