A server listens on its own address, and tries again while it is in use

Cause: server.Start took an answer to its dial for its own listener's; with the port taken by another socket, the ready, directory and status listeners were never opened and the process said that it served. With the callers' or the peers' port taken it ended at once, also when the port was merely the local end of another process's connection. On the same path: a listener whose accept failed once, for lack of descriptors, ended for good.

Change: server.Listen binds, tries an address in use again for 10 s, and accepts until it is closed; all listeners use it.

--- a/connection/acceptor/acceptor.go
+++ b/connection/acceptor/acceptor.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"bluebelldoor"
+	"bluebelldoor/connection/server"
 	"bluebelldoor/process/accountant"
 )
 
@@ -84,21 +85,21 @@
 // New listens on address and starts serving. limits returns the current limits.
 // The returned function closes the listener and all connections.
 func New(address string, limits func() bluebelldoor.CallerLimits, handler Handler, options ...Option) (*Acceptor, func(), error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, nil, errors.Wrapf(err, "listen for callers on %s", address)
-	}
 	a := &Acceptor{
-		handler:  handler,
-		limits:   limits,
-		log:      hclog.NewNullLogger(),
-		memory:   accountant.New(defaultBufferedBodyBytes),
-		listener: l,
-		conns:    map[*connection]struct{}{},
+		handler: handler,
+		limits:  limits,
+		log:     hclog.NewNullLogger(),
+		memory:  accountant.New(defaultBufferedBodyBytes),
+		conns:   map[*connection]struct{}{},
 	}
 	for _, set := range options {
 		set(a)
 	}
+	l, err := server.Listen(address, func(err error) { a.log.Warn("cannot accept callers, trying again", "address", address, "error", err) })
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "callers")
+	}
+	a.listener = l
 	go a.accept()
 	return a, a.stop, nil
 }
@@ -135,14 +136,8 @@
 func (a *Acceptor) accept() {
 	for {
 		conn, err := a.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
 		if err != nil {
-			// Usually out of file descriptors; retry once some may be free.
-			a.log.Warn("accept failed", "error", err)
-			time.Sleep(10 * time.Millisecond)
-			continue
+			return
 		}
 		c := &connection{acceptor: a, conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), memory: a.memory.Begin(), headMemory: a.memory.Begin()}
 		a.mu.Lock()
--- a/connection/listener/caller.go
+++ b/connection/listener/caller.go
@@ -47,7 +47,7 @@
 	h.NoRoute(func(_ context.Context, c *app.RequestContext) {
 		writeRefusal(c, "", bluebelldoor.NewRefusal(bluebelldoor.BadRequest, "no such path"))
 	})
-	return server.Start(h, address)
+	return server.Start(h)
 }
 
 // errorBody is the error format that common client libraries expect.
--- a/connection/listener/operator.go
+++ b/connection/listener/operator.go
@@ -26,7 +26,7 @@
 		c.JSON(200, steps)
 	})
 	h.GET("/metrics", metrics(registry))
-	return server.Start(h, address)
+	return server.Start(h)
 }
 
 // ServeStatus serves /status and /metrics at address. It returns a clean-up
@@ -35,7 +35,7 @@
 	h := server.New(address, server.WithoutBodies())
 	h.GET("/status", func(_ context.Context, c *app.RequestContext) { c.JSON(200, status()) })
 	h.GET("/metrics", metrics(registry))
-	return server.Start(h, address)
+	return server.Start(h)
 }
 
 func metrics(registry *prometheus.Registry) app.HandlerFunc {
--- a/connection/messenger/messenger.go
+++ b/connection/messenger/messenger.go
@@ -15,6 +15,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"bluebelldoor"
+	"bluebelldoor/connection/server"
 )
 
 const (
@@ -166,16 +167,15 @@
 	if err := mux.Register(handler, description); err != nil {
 		return nil, errors.Wrap(err, "register RPC handlers")
 	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := server.Listen(address, func(error) {})
 	if err != nil {
-		return nil, errors.Wrap(err, "listen for peers")
+		return nil, errors.Wrap(err, "peers")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
-		_ = server.Serve(ctx, listener)
+		_ = drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}).Serve(ctx, listener)
 	}()
 	return func() {
 		cancel()
--- a/connection/server/descriptors_test.go
+++ b/connection/server/descriptors_test.go
@@ -45,7 +45,7 @@
 	}
 	s := server.New(address)
 	s.GET("/", func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(http.StatusOK) })
-	stop, err := server.Start(s, address)
+	stop, err := server.Start(s)
 	if err != nil {
 		return err
 	}
--- a/connection/server/endless_test.go
+++ b/connection/server/endless_test.go
@@ -34,7 +34,7 @@
 			assert.NilError(t, err)
 			s := server.New(address, server.WithoutBodies())
 			s.GET("/", func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(200) })
-			stop, err := server.Start(s, address)
+			stop, err := server.Start(s)
 			assert.NilError(t, err)
 			defer stop()
 			chunk := []byte(strings.Repeat(c.part, 4<<10))
--- a/connection/server/server.go
+++ b/connection/server/server.go
@@ -11,7 +11,6 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
-	"github.com/pkg/errors"
 )
 
 // Limits and timeouts of each server.
@@ -21,7 +20,6 @@
 	maxHeaderBytes   = 16 << 10
 	readTimeout      = 10 * time.Second
 	idleTimeout      = 60 * time.Second
-	startTimeout     = 5 * time.Second
 	stopTimeout      = 2 * time.Second
 	stopPollInterval = 5 * time.Millisecond
 )
@@ -29,9 +27,29 @@
 // Server is an HTTP server on which routes are registered.
 type Server struct {
 	*server.Hertz
-	counter *requestCounter
+	counter  *requestCounter
+	listener *boundListener
 }
 
+// boundListener is the listener of a server, which is bound when the server starts. The
+// server is created before, to register its routes.
+type boundListener struct {
+	net.Listener
+	address string
+}
+
+// Addr implements net.Listener.
+func (l *boundListener) Addr() net.Addr { return boundAddress(l.address) }
+
+// boundAddress is a TCP address.
+type boundAddress string
+
+// Network implements net.Addr.
+func (boundAddress) Network() string { return "tcp" }
+
+// String implements net.Addr.
+func (a boundAddress) String() string { return string(a) }
+
 // requestCounter counts active requests. It implements hertz's Tracer.
 type requestCounter struct{ active atomic.Int64 }
 
@@ -62,10 +80,10 @@
 		option(&set)
 	}
 	hlog.SetOutput(io.Discard)
-	counter := &requestCounter{}
-	return &Server{counter: counter, Hertz: server.New(
+	counter, bound := &requestCounter{}, &boundListener{address: address}
+	return &Server{counter: counter, listener: bound, Hertz: server.New(
 		server.WithTracer(counter),
-		server.WithHostPorts(address),
+		server.WithListener(bound),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(set.maxBodyBytes),
 		server.WithMaxHeaderBytes(maxHeaderBytes),
@@ -77,26 +95,21 @@
 	)}
 }
 
-// Start serves until the returned function is called. It returns once address
-// accepts connections, or an error if it does not within 5 s.
-func Start(s *Server, address string) (func(), error) {
-	failed := make(chan error, 1)
-	go func() { failed <- s.Run() }()
-	deadline := time.Now().Add(startTimeout)
-	for time.Now().Before(deadline) {
-		select {
-		case err := <-failed:
-			return nil, errors.Wrapf(err, "listen on %s", address)
-		default:
-		}
-		conn, err := net.DialTimeout("tcp", address, startTimeout)
-		if err == nil {
-			conn.Close()
-			return func() { stop(s) }, nil
-		}
+// Start listens on the server's address and serves until the returned function is called.
+func Start(s *Server) (func(), error) {
+	l, err := Listen(s.listener.address, func(error) {})
+	if err != nil {
+		return nil, err
+	}
+	s.listener.Listener = l
+	go func() {
+		// The listener accepts until it is closed.
+		_ = s.Run()
+	}()
+	for !s.IsRunning() {
 		time.Sleep(time.Millisecond)
 	}
-	return nil, errors.Errorf("listen on %s: not reachable within %s", address, startTimeout)
+	return func() { stop(s) }, nil
 }
 
 // stop closes the listener and waits for active requests, but not for idle
--- a/standin/booker/booker.go
+++ b/standin/booker/booker.go
@@ -96,7 +96,7 @@
 		}
 		r.SetFaults(f)
 	})
-	return server.Start(h, address)
+	return server.Start(h)
 }
 
 func (r *Runner) handle(_ context.Context, c *app.RequestContext) {
--- a/standin/generator/serve.go
+++ b/standin/generator/serve.go
@@ -64,7 +64,7 @@
 		}
 		e.SetFaults(f)
 	})
-	return server.Start(h, address)
+	return server.Start(h)
 }
 
 func (e *Engine) complete(ctx context.Context, c *app.RequestContext) {
--- a/standin/publisher/publisher.go
+++ b/standin/publisher/publisher.go
@@ -158,7 +158,7 @@
 		document, list := p.Reads()
 		c.JSON(200, map[string]int{"document": document, "list": list})
 	})
-	return server.Start(h, address)
+	return server.Start(h)
 }
 
 // ErrUnavailable is returned by reads that fail because of a fault or because
