The status is served once what it reports exists

What users saw: processes that ended by themselves (FAULT). Cause: the listener of the status and the metrics was opened before the acceptor whose requests it reports; asked in that moment, the process ended by a nil pointer. Change: it is opened last. The other listeners need nothing that comes after them, by reading and by the test.

Evidence: TestAskedFromTheStart asks all listeners without a pause from before the start; it ended by the nil pointer before, and passes under the race detector. TestPortTaken passes.

--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -198,15 +198,12 @@
 		"retryAllowance", settings.RetryAllowance, "coldFactor", settings.ColdFactor, "coldAllowance", settings.ColdAllowance)
 }
 
-// listen opens the VM's listeners, that for callers last.
+// listen opens the VM's listeners. The status needs the acceptor, which comes before it.
 func (r *Relay) listen() error {
 	for _, open := range []func() (func(), error){
 		func() (func(), error) {
 			return messenger.ServeFleet(r.settings.PeerAddress, []byte(r.settings.FleetSecret), r)
 		},
-		func() (func(), error) {
-			return listener.ServeStatus(r.settings.OpsAddress, func() any { return r.Status() }, r.metrics.Registry())
-		},
 		func() (func(), error) { return r.adapters.ServeReady(r.settings.ReadyAddress, r.ready) },
 		func() (func(), error) { return r.adapters.ServeDirectory(r.settings.DirectoryAddress, r.resolve) },
 		func() (func(), error) {
@@ -214,6 +211,9 @@
 			r.acceptor = a
 			return stop, err
 		},
+		func() (func(), error) {
+			return listener.ServeStatus(r.settings.OpsAddress, func() any { return r.Status() }, r.metrics.Registry())
+		},
 	} {
 		stop, err := open()
 		if err != nil {
