A process that follows another has no retry allowance at first

What users saw: repeats beyond what is allowed (BUDGET), no logs.

Cause: a process that has just started knows neither what the one before it has repeated nor how many VMs there are, and used the VM's whole part of the allowance, reckoned from its seeds. The share is also behind the limit on cold targets and limits that targets name.

Change: none of the allowance is used until what an earlier process may have repeated has left the window (setting firstStart, from the platform's bootstrap); in its first second a VM has no share.

--- a/process/budgeter/budgeter.go
+++ b/process/budgeter/budgeter.go
@@ -32,6 +32,9 @@
 // concurrent use.
 type Budgeter struct {
 	settings Settings
+	// earlierUntil is until when an earlier process of the VM may have used the allowance,
+	// below 0 if there was none.
+	earlierUntil time.Duration
 	mu       sync.Mutex
 	services map[string]*serviceCounts
 }
@@ -42,9 +45,30 @@
 	repeats  [bucketsPerWindow + 1]int
 }
 
+// Option configures a Budgeter.
+type Option func(*Budgeter)
+
+// WithEarlierProcess tells that an earlier process of the VM may have used its part of the
+// allowance until a time. It is used again once that time has left the window.
+func WithEarlierProcess(until time.Duration) Option {
+	return func(b *Budgeter) { b.earlierUntil = until }
+}
+
 // New returns a budgeter.
-func New(s Settings) *Budgeter {
-	return &Budgeter{settings: s, services: map[string]*serviceCounts{}}
+func New(s Settings, options ...Option) *Budgeter {
+	b := &Budgeter{settings: s, earlierUntil: -1, services: map[string]*serviceCounts{}}
+	for _, o := range options {
+		o(b)
+	}
+	return b
+}
+
+// allowance returns the allowance of all VMs together that may be used.
+func (b *Budgeter) allowance(now time.Duration) float64 {
+	if b.earlierUntil >= 0 && now-b.earlierUntil < b.settings.Window {
+		return 0
+	}
+	return b.settings.Allowance
 }
 
 // Reload applies changed settings. It resets the counts if the length of the
@@ -95,7 +119,7 @@
 		requests += c.requests[i]
 		repeats += c.repeats[i]
 	}
-	allowed := safetyFactor * (b.settings.Ratio*float64(requests) + b.settings.Allowance*vmShare)
+	allowed := safetyFactor * (b.settings.Ratio*float64(requests) + b.allowance(now)*vmShare)
 	if float64(repeats+1) > kindShare*allowed {
 		return false
 	}
--- a/process/budgeter/budgeter_test.go
+++ b/process/budgeter/budgeter_test.go
@@ -13,9 +13,18 @@
 const window = 10 * time.Second
 
 // TestWindows spends all that the budgets of a fleet allow, under random traffic with
-// bursts and pauses, and checks that no sliding window exceeds the limit.
+// bursts and pauses, and checks that no sliding window exceeds the limit. With restarts it
+// guards against processes that forget what earlier ones have repeated.
 func TestWindows(t *testing.T) {
+	for name, restartEvery := range map[string]time.Duration{"no restarts": 0, "restarts in turn": 400 * time.Millisecond, "rare restarts": 6 * time.Second} {
+		t.Run(name, func(t *testing.T) { testWindows(t, restartEvery) })
+	}
+}
+
+func testWindows(t *testing.T, restartEvery time.Duration) {
+	t.Helper()
 	for seed := range uint64(20) {
+		nextRestart := restartEvery
 		random := rand.New(rand.NewPCG(seed, 1))
 		vms := 1 + random.IntN(12)
 		fleet := make([]*budgeter.Budgeter, vms)
@@ -24,6 +33,10 @@
 		}
 		var requests, repeats []time.Duration
 		for now := time.Duration(0); now < time.Minute; now += time.Duration(1+random.IntN(40)) * time.Millisecond {
+			if restartEvery > 0 && now >= nextRestart {
+				fleet[random.IntN(vms)] = budgeter.New(budgeter.Settings{Window: window, Ratio: 0.2, Allowance: 52}, budgeter.WithEarlierProcess(now))
+				nextRestart += restartEvery
+			}
 			b := fleet[random.IntN(vms)]
 			if random.IntN(3) > 0 && int(now/(7*time.Second))%2 == 0 {
 				b.CountRequest("s", now)
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -52,6 +52,9 @@
 	// hubShare is the part of the fleet-wide send limits that belongs to the hubs;
 	// the rest is for the standbys.
 	hubShare = 0.8
+	// fleetKnownAfter is how long after its start a VM uses none of the fleet-wide send limits:
+	// until peers have told it how many members there are.
+	fleetKnownAfter = 4 * roundInterval
 )
 
 // Hooks connect a gossiper to the rest of the process.
@@ -90,6 +93,9 @@
 	pacer *pacer.Pacer
 	view  atomic.Pointer[view]
 
+	// started is when the gossiper was created.
+	started time.Duration
+
 	exchanges sync.WaitGroup
 	failed    atomic.Int64
 
@@ -135,6 +141,7 @@
 	}
 	g := &Gossiper{
 		clock:       clock,
+		started:     clock.Now(),
 		peers:       peers,
 		seeds:       seeds,
 		log:         log,
--- a/process/gossiper/shares_test.go
+++ b/process/gossiper/shares_test.go
@@ -86,3 +86,27 @@
 		assert.Check(t, share <= 0.25, "it knows of three seeds beside itself, and has a share of %.3f", share)
 	})
 }
+
+// TestSharesOfRestarts guards against VMs that have just started, know their seeds alone, and
+// take the fleet for smaller than it is.
+func TestSharesOfRestarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms = 9
+		n := newNetwork()
+		seeds := []string{name(0), name(2), name(4)}
+		stops := make([]func(), vms)
+		for i := range vms {
+			stops[i] = n.start(i, vmSpec{"dc", 0.4}, seeds, nil)
+		}
+		defer func() { stopAll(stops) }()
+		time.Sleep(8 * time.Second)
+		highest := n.totalShare(time.Second)
+		for round := range 3 * vms {
+			i := round % vms
+			stops[i]()
+			stops[i] = n.start(i, vmSpec{"dc", 0.4}, seeds, nil)
+			highest = max(highest, n.totalShare(400*time.Millisecond))
+		}
+		assert.Assert(t, highest <= 1.001, "the shares add up to %.3f", highest)
+	})
+}
--- a/process/gossiper/state.go
+++ b/process/gossiper/state.go
@@ -40,6 +40,10 @@
 // Share returns this VM's fraction of the fleet-wide send limits.
 func (g *Gossiper) Share() float64 {
 	v := g.view.Load()
+	if g.seedMembers > 1 && g.clock.Now()-g.started < fleetKnownAfter {
+		// The VM may know its seeds alone.
+		return 0
+	}
 	hubs := len(v.hubs)
 	switch rest := v.fleetSize - hubs; {
 	case rest <= 0 || hubs == 0:
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -122,7 +122,11 @@
 	r.addCleanup(closeTargets)
 	engines, closeEngines := adapters.NewEngines(onResponseHead)
 	r.addCleanup(closeEngines)
-	r.retryBudget = budgeter.New(budgetSettings(settings))
+	var budgetOptions []budgeter.Option
+	if !settings.FirstStart {
+		budgetOptions = append(budgetOptions, budgeter.WithEarlierProcess(adapters.Clock.Now()))
+	}
+	r.retryBudget = budgeter.New(budgetSettings(settings), budgetOptions...)
 	r.limiter = limiter.New(limiter.Fleet{
 		Self:     settings.Name,
 		Peers:    peers,
--- a/process/runner/relay_test.go
+++ b/process/runner/relay_test.go
@@ -117,7 +117,7 @@
 			Name: fmt.Sprintf("vm-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), CallerAddress: address(), ReadyAddress: address(),
 			DirectoryAddress: address(), PeerAddress: address(), OpsAddress: address(), Catalogue: store.Address(), MemoryMegabytes: 512, Cores: 1,
 			StopWithin: 4 * time.Second, AddressValidFor: 300 * time.Millisecond, KeyEvidenceMaxAge: keyGrace * 4 / 3, UpdateWithin: 2 * time.Second, LeavingWithin: 2 * time.Second,
-			RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryAllowance: testRetryAllowance, ColdFactor: 1.5, ColdAllowance: 5,
+			RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryAllowance: testRetryAllowance, ColdFactor: 1.5, ColdAllowance: 5, FirstStart: true,
 		}}
 		for _, c := range change {
 			c(r.settings)
--- a/relaysettings.go
+++ b/relaysettings.go
@@ -48,6 +48,9 @@
 	RetryWindow    time.Duration
 	RetryRatio     float64
 	RetryAllowance float64
+	// FirstStart is set if no process of the VM has run before. Otherwise an earlier one may
+	// have used the VM's part of RetryAllowance.
+	FirstStart bool
 	// ColdFactor and ColdAllowance limit the requests per second of all VMs to a
 	// cold target: the factor times the target's own rate plus the allowance.
 	ColdFactor    float64
--- a/version/parser/relay.go
+++ b/version/parser/relay.go
@@ -30,6 +30,7 @@
 	"retryWindow":      durationBetween(time.Second, time.Hour).mandatory(),
 	"retryRatio":       schema{kind: number, max: 100}.mandatory(),
 	"retryAllowance":   schema{kind: number, max: 1 << 20}.mandatory(),
+	"firstStart":       schema{kind: boolean},
 	"coldFactor":       schema{kind: number, max: 100}.mandatory(),
 	"coldAllowance":    schema{kind: number, max: 1 << 20}.mandatory(),
 }}
@@ -58,6 +59,7 @@
 	RetryWindow      string   `json:"retryWindow"`
 	RetryRatio       float64  `json:"retryRatio"`
 	RetryAllowance   float64  `json:"retryAllowance"`
+	FirstStart       bool     `json:"firstStart"`
 	ColdFactor       float64  `json:"coldFactor"`
 	ColdAllowance    float64  `json:"coldAllowance"`
 }
@@ -96,6 +98,7 @@
 		RetryWindow:       durationOr(w.RetryWindow, 0),
 		RetryRatio:        w.RetryRatio,
 		RetryAllowance:    w.RetryAllowance,
+		FirstStart:        w.FirstStart,
 		ColdFactor:        w.ColdFactor,
 		ColdAllowance:     w.ColdAllowance,
 	}, nil
