A repeated SIGTERM does not cut a planned stop of relay

Cause: any second stop signal ended the wait; the platform's limit counts from the first. Change: only SIGINT ends it, for an operator at a terminal. serve keeps its second signal, as its stop has no limit.

--- a/cmd/bluebelldoor/relay.go
+++ b/cmd/bluebelldoor/relay.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -42,7 +43,7 @@
 
 Serves callers on the users' platform: requests are forwarded unchanged to
 targets that register themselves. SIGTERM or SIGINT starts a planned stop; a
-second signal stops at once. Changed settings are applied on SIGHUP, or within
+SIGINT during it stops at once, a further SIGTERM changes nothing. Changed settings are applied on SIGHUP, or within
 two seconds without it.
 
 Exit status: 0 after a planned stop, 1 if the VM could not start, 2 if the
@@ -78,11 +79,12 @@
 		return subcommands.ExitFailure
 	}
 	defer cleanUp()
-	c.awaitStop(signals, r, log)
+	c.awaitStop(signals, r, log, syscall.SIGTERM, syscall.SIGINT)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		c.awaitStop(signals, r, log)
+		// The platform may repeat SIGTERM; the time limit counts from the first.
+		c.awaitStop(signals, r, log, syscall.SIGINT)
 		cancel()
 	}()
 	r.Drain(ctx)
@@ -134,19 +136,23 @@
 	return platform.NewEngineClient(platform.WithListener(observer))
 }
 
-// awaitStop returns on SIGTERM or SIGINT. Until then it reloads the settings, on
+// awaitStop returns on one of the signals in stop. Until then it reloads the settings, on
 // SIGHUP or when the file has changed.
-func (c *relayCommand) awaitStop(signals <-chan os.Signal, r *runner.Relay, log hclog.Logger) {
+func (c *relayCommand) awaitStop(signals <-chan os.Signal, r *runner.Relay, log hclog.Logger, stop ...os.Signal) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case s := <-signals:
-			if s != syscall.SIGHUP {
+			switch {
+			case slices.Contains(stop, s):
 				log.Info("received stop signal", "signal", s.String())
 				return
+			case s == syscall.SIGHUP:
+				c.reload(r, log)
+			default:
+				log.Info("the VM stops already", "signal", s.String())
 			}
-			c.reload(r, log)
 		case <-ticker.C:
 			if c.settingsChanged() {
 				c.reload(r, log)
