Soak: repeats, lost requests and memory are counted; more faults

Cause: the soak counted no repeats, took a request without an answer for allowed always, gave each VM 512 MB and enforced nothing, and asked nothing of processes that start, so that BUDGET, LOST and memory could not fail.

--- a/cmd/bluebelldoor/soak_test.go
+++ b/cmd/bluebelldoor/soak_test.go
@@ -23,7 +23,7 @@
 
 var (
 	soakFrom  = flag.Uint64("soak.from", 1, "first seed of the soak")
-	soakSeeds = flag.Int("soak.seeds", 2, "number of seeds to run")
+	soakSeeds = flag.Int("soak.seeds", 3, "number of seeds to run")
 	soakTime  = flag.Duration("soak.time", 5*time.Second, "how long faults are injected for a seed")
 )
 
@@ -37,7 +37,8 @@
 // writes the first two into the settings.
 const (
 	soakVMs            = 4
-	soakCallers        = 12
+	soakCallersPerVM   = 3
+	largeSoakVMs       = 24
 	keyRevocationDelay = 2 * time.Second
 	stopWithin         = 4 * time.Second
 	recoverTime        = 12 * time.Second
@@ -45,11 +46,18 @@
 	firstKey           = "key-1"
 	secondKey          = "key-2"
 	soakDeadline       = 3 * time.Second
+	// vmMegabytes is the memory of the smallest VM of the deployments.
+	vmMegabytes = 112
+	// retryRatio and retryAllowance bound repeats in each retryWindow.
+	retryWindow    = 10 * time.Second
+	retryRatio     = 0.2
+	retryAllowance = 10
 )
 
 // soakVM is a VM's process, which reaches the store through a link.
 type soakVM struct {
 	name, caller, directory, settings string
+	ready, ops                        string
 	store                             *link.Link
 	mu                                sync.Mutex
 	cmd                               *exec.Cmd
@@ -83,6 +91,11 @@
 	copied        *lender.Copy
 	copiedAt      time.Time
 
+	// planned is set if all faults are planned work: no accepted request may be lost.
+	planned bool
+	// vmCount is the number of VMs.
+	vmCount int
+
 	store     *lender.Store
 	targetSet *lender.Cluster
 	vms       []*soakVM
@@ -114,7 +127,10 @@
 func runSoak(t *testing.T, seed uint64) {
 	store, stopStore := lender.NewStore()
 	t.Cleanup(stopStore)
-	s := &soak{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(seed, 99)), limitRandom: rand.New(rand.NewPCG(seed, 98)), restoreRandom: rand.New(rand.NewPCG(seed, 97)), store: store, targetSet: lender.NewCluster(store)}
+	s := &soak{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(seed, 99)), limitRandom: rand.New(rand.NewPCG(seed, 98)), restoreRandom: rand.New(rand.NewPCG(seed, 97)), store: store, targetSet: lender.NewCluster(store), planned: seed%4 == 3, vmCount: soakVMs}
+	if seed%10 == 9 {
+		s.vmCount = largeSoakVMs
+	}
 	if logDir := os.Getenv("BLUEBELLDOOR_SOAK_LOGS"); logDir != "" {
 		s.dir = filepath.Join(logDir, fmt.Sprint(seed))
 		assert.NilError(t, os.MkdirAll(s.dir, 0o755))
@@ -128,17 +144,28 @@
 	s.awaitServing("before the faults")
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
-	for i := range soakCallers {
+	for _, v := range s.vms {
+		callers.Go(func() { v.ask(ctx) })
+	}
+	for i := range s.vmCount * soakCallersPerVM {
 		r := rand.New(rand.NewPCG(seed, uint64(i)))
 		callers.Go(func() { s.runCaller(ctx, i, r) })
 	}
-	s.injectFaults(time.Now().Add(*soakTime))
+	if s.planned {
+		s.injectPlanned(time.Now().Add(*soakTime))
+	} else {
+		s.injectFaults(time.Now().Add(*soakTime))
+	}
 	s.repairFaults()
 	s.awaitServing("after the faults")
 	cancel()
 	callers.Wait()
+	for _, v := range s.vms {
+		s.checkMemory(v)
+	}
 	time.Sleep(300 * time.Millisecond) // lets executions that are still running be recorded
 	s.checkOutcomes()
+	s.checkRepeats()
 }
 
 func (s *soak) configure(keys ...string) {
@@ -183,14 +210,17 @@
 		return l.Address()
 	})
 	s.t.Cleanup(t.Stop)
-	faults := []lender.Behaviour{lender.Refuse, lender.Fail, lender.Drop, lender.Truncate, lender.WrongAttemptID}
+	faults := []lender.Behaviour{lender.Refuse, lender.Fail, lender.Drop, lender.Truncate, lender.WrongAttemptID, lender.EndlessHead}
 	r := rand.New(rand.NewPCG(uint64(s.targetsAdded), 5))
 	var mu sync.Mutex
-	t.SetBehaviour(func(*http.Request) lender.Behaviour {
+	t.SetBehaviour(func(request *http.Request) lender.Behaviour {
 		mu.Lock()
 		defer mu.Unlock()
-		if r.IntN(20) == 0 {
+		switch n := r.IntN(20); {
+		case n == 0:
 			return faults[r.IntN(len(faults))]
+		case n < 8 && request.Header.Get("Token-Count") != "":
+			return lender.UnframedPaced
 		}
 		return lender.Serve
 	})
@@ -199,19 +229,21 @@
 
 func (s *soak) startVMs() {
 	var seeds []string
-	for i := range soakVMs {
+	for i := range s.vmCount {
 		l, stop, err := link.New(s.store.Address())
 		assert.NilError(s.t, err)
 		s.t.Cleanup(stop)
-		v := &soakVM{name: fmt.Sprintf("vm-%d", i), caller: freeAddress(s.t), directory: freeAddress(s.t), store: l}
+		v := &soakVM{
+			name: fmt.Sprintf("vm-%d", i), caller: freeAddress(s.t), directory: freeAddress(s.t), ready: freeAddress(s.t), ops: freeAddress(s.t), store: l,
+		}
 		v.settings = filepath.Join(s.dir, v.name+".hujson")
 		peer := freeAddress(s.t)
 		seeds = append(seeds, peer)
 		text, err := json.Marshal(map[string]any{
-			"name": v.name, "dataCentre": dataCentre(i), "callerAddress": v.caller, "readyAddress": freeAddress(s.t),
-			"directoryAddress": v.directory, "peerAddress": peer, "opsAddress": freeAddress(s.t), "catalogue": l.Address(),
-			"seeds": seeds[:min(len(seeds), 3)], "memoryMegabytes": 512, "cpuShare": 1, "cores": 1, "stopWithin": stopWithin.String(),
-			"addressValidFor": "500ms", "keyEvidence": keyRevocationDelay.String(), "newsWithin": "2s", "retryWindow": "10s", "retryRatio": 0.2, "retryAllowance": 50,
+			"name": v.name, "dataCentre": dataCentre(i), "callerAddress": v.caller, "readyAddress": v.ready,
+			"directoryAddress": v.directory, "peerAddress": peer, "opsAddress": v.ops, "catalogue": l.Address(),
+			"seeds": seeds[:min(len(seeds), 3)], "memoryMegabytes": vmMegabytes * memoryFactor, "cpuShare": 1, "cores": 1, "stopWithin": stopWithin.String(),
+			"addressValidFor": "500ms", "keyEvidence": keyRevocationDelay.String(), "newsWithin": "2s", "retryWindow": retryWindow.String(), "retryRatio": retryRatio, "retryAllowance": retryAllowance,
 			"coldFactor": 1.5, "coldAllowance": 5,
 		})
 		assert.NilError(s.t, err)
--- a/cmd/bluebelldoor/soakcallers_test.go
+++ b/cmd/bluebelldoor/soakcallers_test.go
@@ -39,6 +39,19 @@
 	}
 }
 
+// ask asks a VM for its status, metrics and readiness all the time, also while it starts.
+func (v *soakVM) ask(ctx context.Context) {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for n := 0; ctx.Err() == nil; n++ {
+		url := []string{v.ops + "/status", v.ops + "/metrics", v.ready + "/-/ready"}[n%3]
+		if response, err := client.Get("http://" + url); err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			response.Body.Close()
+		}
+		time.Sleep(3 * time.Millisecond)
+	}
+}
+
 type connection struct {
 	net.Conn
 	address string
--- a/cmd/bluebelldoor/soakchecks_test.go
+++ b/cmd/bluebelldoor/soakchecks_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"strings"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -41,6 +43,8 @@
 	}
 	atMostOnce := o.path == "unsafe" || o.path == "stream"
 	switch refused := o.status == 503 || o.status == 429; {
+	case s.planned && o.status == 0 && executions > 0:
+		return errors.New("accepted, executed and closed without an answer")
 	case atMostOnce && executions > 1:
 		return fmt.Errorf("executed %d times", executions)
 	case refused && len(runs) > 0:
@@ -51,6 +55,70 @@
 	return nil
 }
 
+// checkMemory checks that a VM's process has not exceeded the memory of a VM.
+func (s *soak) checkMemory(v *soakVM) {
+	v.mu.Lock()
+	pid := v.cmd.Process.Pid
+	v.mu.Unlock()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return // the process has ended
+	}
+	for _, line := range strings.Split(string(status), "\n") {
+		var kilobytes int
+		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); err == nil && kilobytes > vmMegabytes*memoryFactor<<10 {
+			s.t.Errorf("%s took %d MB of memory", v.name, kilobytes>>10)
+		}
+	}
+}
+
+// checkRepeats checks that in no window targets got more repeats of callers' requests than all
+// VMs together may send. A window's requests are those of it, or of one that begins earlier by
+// half of its length or by its length.
+func (s *soak) checkRepeats() {
+	requests, repeats := map[string][]time.Time{}, map[string][]time.Time{}
+	for _, o := range s.outcomes {
+		service := serviceOf(o.path)
+		requests[service] = append(requests[service], o.sent)
+		if runs := s.targetSet.Executions(o.id); len(runs) > 1 {
+			for _, r := range runs[1:] {
+				repeats[service] = append(repeats[service], r.At)
+			}
+		}
+	}
+	for service, times := range repeats {
+		worst := 0.0
+		for _, from := range times {
+			counted := 0
+			for _, earlier := range []time.Duration{0, retryWindow / 2, retryWindow} {
+				counted = max(counted, countWithin(requests[service], from.Add(-earlier)))
+			}
+			worst = max(worst, float64(countWithin(times, from))/(retryRatio*float64(counted)+retryAllowance))
+		}
+		s.t.Logf("%s: %d requests, %d repeats, worst window %.2f of the allowed", service, len(requests[service]), len(times), worst)
+		assert.Check(s.t, worst <= 1, "%s: %.2f of the repeats allowed in a window", service, worst)
+	}
+}
+
+// serviceOf returns the service of a route.
+func serviceOf(path string) string {
+	if path == "stream" || path == "resume" {
+		return "engine"
+	}
+	return "app"
+}
+
+// countWithin returns how many times are in the window that begins at from.
+func countWithin(times []time.Time, from time.Time) int {
+	n := 0
+	for _, at := range times {
+		if !at.Before(from) && at.Before(from.Add(retryWindow)) {
+			n++
+		}
+	}
+	return n
+}
+
 // checkRun checks that a target executed the caller's request, under a valid key.
 func (s *soak) checkRun(o outcome, r lender.Execution) error {
 	switch {
--- a/cmd/bluebelldoor/soakfaults_test.go
+++ b/cmd/bluebelldoor/soakfaults_test.go
@@ -53,6 +53,27 @@
 	pending.Wait()
 }
 
+// injectPlanned injects planned work until a point in time: planned stops with repeated
+// signals, changed settings, new versions of the routing, and targets that leave.
+func (s *soak) injectPlanned(until time.Time) {
+	var pending sync.WaitGroup
+	for time.Now().Before(until) {
+		v := s.vms[s.random.IntN(len(s.vms))]
+		switch s.random.IntN(5) {
+		case 0:
+			pending.Go(func() { s.restart(v, syscall.SIGTERM) })
+		case 1:
+			v.signal(syscall.SIGHUP, false)
+		case 2:
+			s.configure(firstKey, secondKey)
+		case 3, 4:
+			s.replaceTarget(pending.Go)
+		}
+		time.Sleep(time.Duration(s.random.IntN(300)) * time.Millisecond)
+	}
+	pending.Wait()
+}
+
 // restoreStore sometimes takes a copy of the store, or returns the store to it after a
 // moment without answers. What was lost is written again a little later.
 func (s *soak) restoreStore(inBackground func(func())) {
@@ -168,11 +189,18 @@
 		return
 	}
 	v.stopping = true
-	exitErr := v.exitErr
+	exitErr, process := v.exitErr, v.cmd.Process
 	v.mu.Unlock()
 	v.signal(syscall.SIGCONT, true)
 	s.awaitStarted(v)
+	s.checkMemory(v)
 	v.signal(sig, true)
+	if sig == syscall.SIGTERM {
+		// The platform may repeat the signal, and settings may change meanwhile.
+		for _, again := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+			time.AfterFunc(300*time.Millisecond, func() { _ = process.Signal(again) })
+		}
+	}
 	select {
 	case err := <-exitErr:
 		if sig == syscall.SIGTERM && err != nil {
--- a/standin/lender/stream.go
+++ b/standin/lender/stream.go
@@ -164,6 +164,20 @@
 	}
 }
 
+// floodHead sends a response head of floodBytes and closes the connection.
+func floodHead(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX: ")
+	part := []byte(strings.Repeat("x", 32<<10))
+	for sent := 0; sent < floodBytes && err == nil; sent += len(part) {
+		_, err = conn.Write(part)
+	}
+}
+
 // downFor is how long a target stays away after a crash.
 const downFor = 300 * time.Millisecond
 
--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -35,6 +35,7 @@
 	UnframedEmpty  Behaviour = "unframedEmpty" // the same, ended before its first event
 	UnframedPaced  Behaviour = "unframedPaced" // the same, at the pace of other streams; it closes where others break off
 	Endless        Behaviour = "endless"       // begin a stream and send one event of floodBytes
+	EndlessHead    Behaviour = "endlessHead"   // execute and send a header field of floodBytes
 	Stall          Behaviour = "stall"         // begin a stream and send no event
 	Crash          Behaviour = "crash"         // begin a stream, then end every request and stay away for a while
 	CrashSilently  Behaviour = "crashSilently" // the same, without an answer to this request
@@ -351,13 +352,7 @@
 		refuse(w, 0)
 		return
 	}
-	t.cluster.mu.Lock()
-	t.cluster.executions = append(t.cluster.executions, Execution{
-		Target: t.ID, ID: id, Method: r.Method, Path: r.URL.RequestURI(), Body: string(body),
-		Header: r.Header.Clone(), LastEventID: r.Header.Get("Last-Event-Id"), At: time.Now(),
-	})
-	execution := fmt.Sprintf("run%d", len(t.cluster.executions))
-	t.cluster.mu.Unlock()
+	execution := t.recordExecution(r, string(body))
 	w.Header().Set("Server-Stamp", "stamp-"+t.ID)
 	switch behaviour {
 	case Drop:
@@ -365,6 +360,9 @@
 	case CrashSilently:
 		t.crash()
 		panic(http.ErrAbortHandler)
+	case EndlessHead:
+		floodHead(w)
+		return
 	case Hang:
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
@@ -383,6 +381,17 @@
 	t.answer(w, id, behaviour, began)
 }
 
+// recordExecution records that the target executes a request, and returns the execution's name.
+func (t *Target) recordExecution(r *http.Request, body string) string {
+	t.cluster.mu.Lock()
+	defer t.cluster.mu.Unlock()
+	t.cluster.executions = append(t.cluster.executions, Execution{
+		Target: t.ID, ID: r.Header.Get("Attempt-Id"), Method: r.Method, Path: r.URL.RequestURI(), Body: body,
+		Header: r.Header.Clone(), LastEventID: r.Header.Get("Last-Event-Id"), At: time.Now(),
+	})
+	return fmt.Sprintf("run%d", len(t.cluster.executions))
+}
+
 // answer sends the answer of an application runner to a request that came at began.
 func (t *Target) answer(w http.ResponseWriter, id string, behaviour Behaviour, began time.Time) {
 	if t.hasCrashedSince(began) {
--- a/version/parser/relay.go
+++ b/version/parser/relay.go
@@ -30,7 +30,7 @@
 	"retryWindow":      durationBetween(time.Second, time.Hour).mandatory(),
 	"retryRatio":       schema{kind: number, max: 100}.mandatory(),
 	"retryAllowance":   schema{kind: number, max: 1 << 20}.mandatory(),
-	"firstStart":       schema{kind: boolean},
+	"firstStart":       {kind: boolean},
 	"coldFactor":       schema{kind: number, max: 100}.mandatory(),
 	"coldAllowance":    schema{kind: number, max: 1 << 20}.mandatory(),
 }}
