--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -354,18 +354,10 @@
 	}
 	execution := t.recordExecution(r, string(body))
 	w.Header().Set("Server-Stamp", "stamp-"+t.ID)
+	t.withholdAnswer(w, r, behaviour)
 	switch behaviour {
-	case Drop:
-		panic(http.ErrAbortHandler)
-	case CrashSilently:
-		t.crash()
-		panic(http.ErrAbortHandler)
 	case EndlessHead:
-		floodHead(w)
 		return
-	case Hang:
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
 	case Fail:
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -381,6 +373,22 @@
 	t.answer(w, id, behaviour, began)
 }
 
+// withholdAnswer ends the connection if the behaviour is one without an answer.
+func (t *Target) withholdAnswer(w http.ResponseWriter, r *http.Request, behaviour Behaviour) {
+	switch behaviour {
+	case Drop:
+		panic(http.ErrAbortHandler)
+	case CrashSilently:
+		t.crash()
+		panic(http.ErrAbortHandler)
+	case EndlessHead:
+		floodHead(w)
+	case Hang:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // recordExecution records that the target executes a request, and returns the execution's name.
 func (t *Target) recordExecution(r *http.Request, body string) string {
 	t.cluster.mu.Lock()
