--- a/connection/acceptor/head.go
+++ b/connection/acceptor/head.go
@@ -22,8 +22,8 @@
 var headEnd = []byte("\r\n\r\n")
 
 // peekHead blocks until a complete request head is buffered and returns it
-// without consuming it, errHeadTooLarge if it exceeds limit bytes or maxHeadLines, or bufio.ErrBufferFull if
-// it exceeds the buffer.
+// without consuming it, errHeadTooLarge if it exceeds limit bytes or maxHeadLines, or
+// bufio.ErrBufferFull if it exceeds the buffer.
 func peekHead(br *bufio.Reader, limit int) ([]byte, error) {
 	scanned := 0
 	for {
--- a/standin/lender/stream.go
+++ b/standin/lender/stream.go
@@ -51,6 +51,9 @@
 		t.crash()
 		panic(http.ErrAbortHandler)
 	}
+	if after > 0 && after >= events {
+		return // the stream was complete
+	}
 	t.sendEvents(w, r, g, behaviour)
 }
 
@@ -135,13 +138,13 @@
 		case <-time.After(eventInterval):
 		}
 		t.mu.Lock()
-		stopped := g.stopped
-		if !stopped && g.sent < g.events {
+		ended := g.stopped || g.sent >= g.events
+		if !ended {
 			g.sent++
 		}
 		n := g.sent
 		t.mu.Unlock()
-		if stopped || r.Context().Err() != nil {
+		if ended {
 			return
 		}
 		_, err = fmt.Fprintf(conn, "id: %d\ndata: %s %s\n\n", n, g.execution, strings.Repeat("x", 20))
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -42,16 +42,25 @@
 // Address returns the address on which the link accepts connections.
 func (l *Link) Address() string { return l.listener.Addr().String() }
 
-// Cut closes all connections and refuses new ones until Restore.
+// Cut resets all connections and refuses new ones until Restore. Only an end of the link may
+// end a connection in order.
 func (l *Link) Cut() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.disabled = true
 	for c := range l.conns {
-		c.Close()
+		reset(c)
 	}
 }
 
+// reset closes a connection with a reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	c.Close()
+}
+
 // Stall blocks all forwarding until Restore.
 func (l *Link) Stall() {
 	l.mu.Lock()
@@ -107,14 +116,17 @@
 	if !l.track(in, out) {
 		return
 	}
-	done := make(chan struct{}, 2)
+	done := make(chan error, 2)
 	for _, direction := range [][2]net.Conn{{in, out}, {out, in}} {
 		go func() {
-			_, _ = io.Copy(gatedWriter{l, direction[1], direction[1] == out}, direction[0])
-			done <- struct{}{}
+			_, err := io.Copy(gatedWriter{l, direction[1], direction[1] == out}, direction[0])
+			done <- err
 		}()
 	}
-	<-done
+	if err := <-done; err != nil {
+		reset(in)
+		reset(out)
+	}
 }
 
 func (l *Link) track(conns ...net.Conn) bool {
