--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -173,7 +173,7 @@
 	r.addCleanup(r.values.Start())
 	r.addCleanup(prober.New(engines, r.registrar, r.relayer.StreamingTargets, log.Named("prober")))
 	r.fire(triggerReady)
-	log.Info("serving", "vm", settings.Name, "dataCentre", settings.DataCentre, "callers", settings.CallerAddress)
+	log.Info("serving", "vm", settings.Name, "dataCentre", settings.DataCentre, "callers", settings.CallerAddress, "firstStart", settings.FirstStart)
 	return r, r.cleanup, nil
 }
 
--- a/version/parser/relay_test.go
+++ b/version/parser/relay_test.go
@@ -68,12 +68,33 @@
 		"listen.control|json": `"10.0.0.1:4"`, "provider.address|json": `"10.0.0.9:1"`, "seeds|json": `["10.0.0.1:4"]`,
 		"node|json": `"front-1"`, "zone|json": `"ate"`, "ip": "10.0.0.1", "internal_ports.0": "7200",
 	}
-	filled := regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(text), func(p string) string {
-		if v, ok := values[strings.Trim(p, "{}")]; ok {
-			return v
+	for name, firstStart := range map[string]bool{"first start": true, "later start": false} {
+		t.Run(name, func(t *testing.T) {
+			rendered := renderSections(string(text), map[string]bool{"bootstrap": firstStart})
+			filled := regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(rendered, func(p string) string {
+				if v, ok := values[strings.Trim(p, "{}")]; ok {
+					return v
+				}
+				return "100"
+			})
+			settings, err := parser.RelaySettings("settings", []byte(filled))
+			assert.NilError(t, err)
+			assert.Equal(t, settings.FirstStart, firstStart)
+		})
+	}
+}
+
+// renderSections renders the sections of a template that depend on whether a value is true.
+func renderSections(text string, values map[string]bool) string {
+	for name, set := range values {
+		for mark, shown := range map[string]bool{"#": set, `\^`: !set} {
+			section := regexp.MustCompile(`\{\{` + mark + name + `\}\}(.*?)\{\{/` + name + `\}\}`)
+			if shown {
+				text = section.ReplaceAllString(text, "$1")
+			} else {
+				text = section.ReplaceAllString(text, "")
+			}
 		}
-		return "100"
-	})
-	_, err = parser.RelaySettings("settings", []byte(filled))
-	assert.NilError(t, err)
+	}
+	return text
 }
