--- a/fleet.go
+++ b/fleet.go
@@ -104,6 +104,13 @@
 	// EventIntervalMs is the time between two events of a stream there, in
 	// milliseconds, as the VM observed it; 0 if it has observed none.
 	EventIntervalMs int `cbor:"paceMs,omitempty"`
+	// Streams is how many protected streams the VM has there.
+	Streams int `cbor:"streams,omitempty"`
+	// Reserved is the memory, in tokens, that the VM's queued requests have reserved there.
+	Reserved int `cbor:"reserved,omitempty"`
+	// Credit is how many requests at once the target has earned by its answers to the VM
+	// since it started or recovered.
+	Credit int `cbor:"credit,omitempty"`
 }
 
 // LoadDelta is one VM's load on the targets, complete or as changes.
--- a/request/placer/ledger.go
+++ b/request/placer/ledger.go
@@ -26,11 +26,23 @@
 	tokens   int // memory expected to be needed, in tokens
 	held     int // memory needed now, in tokens
 	prefill  int
+	streams  int // protected streams
+	reserved int // memory reserved for queued requests, in tokens
+	credit   int
 	interval time.Duration // longest time between events reported by peers, 0 if none
 }
 
 func (l load) plus(m load) load {
-	return load{l.requests + m.requests, l.tokens + m.tokens, l.held + m.held, l.prefill + m.prefill, max(l.interval, m.interval)}
+	return load{
+		requests: l.requests + m.requests,
+		tokens:   l.tokens + m.tokens,
+		held:     l.held + m.held,
+		prefill:  l.prefill + m.prefill,
+		streams:  l.streams + m.streams,
+		reserved: l.reserved + m.reserved,
+		credit:   l.credit + m.credit,
+		interval: max(l.interval, m.interval),
+	}
 }
 
 // Ledger tracks the load that this VM and its peers have on the targets, and the
@@ -74,6 +86,7 @@
 	tokens  int
 	held    int
 	prefill int
+	streams int
 	ended   bool
 }
 
@@ -93,6 +106,16 @@
 	return &Reservation{ledger: l, target: target, tokens: tokens, held: prefill, prefill: prefill}
 }
 
+// Protect marks the request as a protected stream.
+func (r *Reservation) Protect() {
+	if r.ended || r.streams > 0 {
+		return
+	}
+	r.streams = 1
+	r.ledger.own[r.target].streams++
+	r.ledger.dirty = true
+}
+
 // PromptRead records that the prompt has been read.
 func (r *Reservation) PromptRead() {
 	if r.ended || r.prefill == 0 {
@@ -127,6 +150,7 @@
 	own.requests--
 	own.tokens -= r.tokens
 	own.held -= r.held
+	own.streams -= r.streams
 	if own.requests == 0 {
 		delete(r.ledger.own, r.target)
 	}
@@ -211,7 +235,7 @@
 func (l *Ledger) OwnLoads() []bluebelldoor.TargetLoad {
 	out := make([]bluebelldoor.TargetLoad, 0, len(l.own))
 	for target, own := range l.own {
-		out = append(out, bluebelldoor.TargetLoad{Target: target, Requests: own.requests, Tokens: own.tokens, HeldTokens: own.held, PrefillTokens: own.prefill})
+		out = append(out, bluebelldoor.TargetLoad{Target: target, Requests: own.requests, Tokens: own.tokens, HeldTokens: own.held, PrefillTokens: own.prefill, Streams: own.streams})
 	}
 	l.setIntervals(out)
 	return out
--- a/request/placer/peers.go
+++ b/request/placer/peers.go
@@ -32,7 +32,16 @@
 }
 
 func loadOf(t bluebelldoor.TargetLoad) load {
-	return load{requests: t.Requests, tokens: t.Tokens, held: t.HeldTokens, prefill: t.PrefillTokens, interval: time.Duration(t.EventIntervalMs) * time.Millisecond}
+	return load{
+		requests: t.Requests,
+		tokens:   t.Tokens,
+		held:     t.HeldTokens,
+		prefill:  t.PrefillTokens,
+		streams:  t.Streams,
+		reserved: t.Reserved,
+		credit:   t.Credit,
+		interval: time.Duration(t.EventIntervalMs) * time.Millisecond,
+	}
 }
 
 // Replace replaces a peer's loads with those of a report received at now.
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -76,9 +76,13 @@
 	// HeldTokens is the memory that it needs at its start.
 	HeldTokens int
 	// Long marks a request that will run for seconds.
-	Long       bool
-	DataCentre string
-	Engine     *bluebelldoor.EngineKind
+	Long bool
+	// MixesStreams is set if the service has protected streams; Protected marks one.
+	MixesStreams, Protected bool
+	// MaxEventGap is the longest gap between events of a protected stream, 0 for no limit.
+	MaxEventGap time.Duration
+	DataCentre  string
+	Engine      *bluebelldoor.EngineKind
 	// ConnectionLimit is the target's connection limit over all VMs, with one
 	// connection per request; 0 if it is unknown.
 	ConnectionLimit int
@@ -117,6 +121,7 @@
 	l.updateTotals(now)
 	best := Choice{Index: -1, Cost: math.Inf(1)}
 	medianFailures, fast := l.medianFailures(candidates), l.fastInterval(candidates, d)
+	pauses, headroom := l.newPauseModel(candidates, d), l.newHeadroomCheck(candidates, d)
 	for i, c := range candidates {
 		if c.Cold && !l.allowsCold(c.Instance.ID, d.MaxColdPerSecond, now) {
 			continue
@@ -129,8 +134,12 @@
 			best.Missing = max(best.Missing, lacks)
 			continue
 		}
+		if !headroom.allows(l.totals[c.Instance.ID], d) {
+			best.Missing = max(best.Missing, NoMemory)
+			continue
+		}
 		cost, full := l.loadCost(c, d, medianFailures)
-		cost += l.stallCost(c, d, now) + l.intervalCost(c, fast)
+		cost += l.stallCost(c, d, now) + l.intervalCost(c, fast) + pauses.cost(l.totals[c.Instance.ID], l.interval(c.Instance.ID))
 		if l.isUnreachable(c.Instance.ID, now) {
 			cost += unreachableCost
 		}
--- a/request/placer/room.go
+++ b/request/placer/room.go
@@ -55,6 +55,8 @@
 	// HeldShare is the share of the memory that may be in use, NeededShare the
 	// share that may come to be needed; a NeededShare of 0 means no limit.
 	HeldShare, NeededShare float64
+	// Headroom is left free for urgent generations.
+	Headroom Headroom
 }
 
 // NewLimits returns the limits for a new generation. A short one needs the memory
@@ -71,6 +73,14 @@
 	return limits
 }
 
+// NewDeferrableLimits returns the limits for a deferrable generation, which leaves headroom to
+// urgent ones. One that is late takes no memory that one in time would get.
+func NewDeferrableLimits(headroom Headroom, late bool) *Limits {
+	limits := NewLimits(false, late)
+	limits.Headroom = headroom
+	return limits
+}
+
 // CopyLimits are the limits for the copy of a running generation.
 var CopyLimits = &Limits{PrefillTokens: math.Inf(1), HeldShare: 1}
 
--- a/request/placer/wait.go
+++ b/request/placer/wait.go
@@ -11,6 +11,12 @@
 	// return all at once.
 	minRetryDelay = 8 * time.Second
 	maxRetryDelay = 13 * time.Second
+	// minStartMargin is the part of an urgent generation's objective that is left for a
+	// target that is slower than estimated.
+	minStartMargin = 400 * time.Millisecond
+	// retryWaitFactor is how many objectives a deferrable generation waits that came back
+	// after a refusal. Callers give up after four.
+	retryWaitFactor = 2
 	// maxRetryShare is the share of a caller's remaining time that it waits at
 	// most.
 	maxRetryShare = 1.0 / 3
@@ -29,6 +35,17 @@
 	return max(0, time.Duration(waitShare*float64(MaxStartDelay(objective, prompt))))
 }
 
+// MaxUrgentQueueTime returns how long an urgent generation waits for room before its caller is
+// refused: as long as it can begin in time. Its prompt takes longer to read the larger it is,
+// but not its wait for memory.
+func MaxUrgentQueueTime(objective time.Duration, prompt int) time.Duration {
+	return max(0, objective-minStartMargin-PrefillTime(prompt))
+}
+
+// MaxLateQueueTime returns how long a deferrable generation waits for room that came back
+// after a refusal. It is late, and another refusal would serve its caller less than a wait.
+func MaxLateQueueTime(objective time.Duration) time.Duration { return retryWaitFactor * objective }
+
 // RetryDelay returns the delay after which a caller that was refused for want of
 // room may retry: early enough for another attempt that begins within the
 // objective. If the time remaining until the deadline is too short for that, it
--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -191,6 +191,9 @@
 	}
 	reservation := j.ledger.Start(targets[choice.Index].ID, 0, 0)
 	reservation.UpdateMemory(max(tokens, demand.Tokens), tokens)
+	if demand.Protected {
+		reservation.Protect()
+	}
 	return targets[choice.Index], reservation
 }
 
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -20,6 +20,10 @@
 	if j.route.Generates {
 		d.Tokens, d.HeldTokens, d.Long = j.request.PromptTokens+j.expectedTokens(), j.request.PromptTokens, j.isLong()
 	}
+	if terms := j.terms(); j.route.Generates && terms.ProtectsStreams() {
+		d.MixesStreams, d.Protected, d.MaxEventGap = true, terms.Protects(j.route), j.route.MaxEventGap
+		d.Long = d.Long || d.Protected
+	}
 	if j.service.ColdPerSecond > 0 {
 		settings := j.settings.Load()
 		d.MaxColdPerSecond = (j.service.ColdPerSecond*settings.ColdFactor + settings.ColdAllowance) * coldRateMargin * j.sources.Share()
@@ -27,6 +31,14 @@
 	return d
 }
 
+// terms returns what the routes of the request's service ask of placement.
+func (j *job) terms() bluebelldoor.ServiceTerms {
+	if routing := j.sources.View().Routing(); routing != nil {
+		return routing.Terms(j.serviceName)
+	}
+	return bluebelldoor.ServiceTerms{}
+}
+
 // expectedTokens returns how many tokens the generation is expected to produce.
 func (j *job) expectedTokens() int {
 	switch hint, maxTokens := j.request.ExpectedTokens, j.request.MaxTokens; {
@@ -88,7 +100,11 @@
 	if cold {
 		j.ledger.RecordCold(t.ID, now)
 	}
-	return j.ledger.Start(t.ID, demand.Tokens, j.request.PromptTokens)
+	reservation := j.ledger.Start(t.ID, demand.Tokens, j.request.PromptTokens)
+	if demand.Protected {
+		reservation.Protect()
+	}
+	return reservation
 }
 
 // logChoice logs the choice of a target. The caller must hold r.mu, which is
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -104,6 +104,8 @@
 	queues map[string]*placer.Queue[*waiter]
 	// shortArrivals record, by service, the latest short generations.
 	shortArrivals map[string]*placer.ShortArrivals
+	// urgentDemand tracks, by service, the latest urgent generations beside deferrable ones.
+	urgentDemand map[string]*placer.UrgentDemand
 	// polling reports whether pollForRoom is running.
 	polling bool
 }
@@ -125,6 +127,7 @@
 		streams:       map[*stream]struct{}{},
 		queues:        map[string]*placer.Queue[*waiter]{},
 		shortArrivals: map[string]*placer.ShortArrivals{},
+		urgentDemand:  map[string]*placer.UrgentDemand{},
 	}
 	r.settings.Store(&settings)
 	r.ending, r.end = context.WithCancel(context.Background())
--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -17,6 +17,9 @@
 	// maxTokenTime is the time per generated token, taken from the objective
 	// between tokens, by which a generation is judged too late to end in time.
 	maxTokenTime = 20 * time.Millisecond
+	// minRetryAge is by how much less time than the route allows a request has at least
+	// that was sent before; callers may round, and connections take time.
+	minRetryAge = time.Second
 )
 
 // placement is the result of queueing a generation: a target or a refusal.
@@ -74,8 +77,16 @@
 	defer j.mu.Unlock()
 	w.ExpiresAt = j.latestStart()
 	w.StartBy = w.ExpiresAt
+	terms := j.terms()
+	urgent := terms.HasDeferrable() && !terms.Defers(j.route)
 	if objective := j.route.LatencyObjective; objective > 0 {
 		w.StartBy = w.OrderTime + placer.MaxStartDelay(objective, j.request.PromptTokens)
+		if urgent {
+			w.StartBy = w.OrderTime + placer.MaxUrgentQueueTime(objective, j.request.PromptTokens)
+		}
+	}
+	if urgent {
+		j.urgentDemandOf(j.serviceName).Record(j.request.PromptTokens, j.arrived)
 	}
 	if !w.Long {
 		j.shortArrivalsOf(j.serviceName).Record(j.priority, j.arrived)
@@ -100,6 +111,32 @@
 	return s
 }
 
+// urgentDemandOf returns the record of a service's urgent generations. The caller must hold
+// r.mu.
+func (r *Relayer) urgentDemandOf(service string) *placer.UrgentDemand {
+	u := r.urgentDemand[service]
+	if u == nil {
+		u = &placer.UrgentDemand{}
+		r.urgentDemand[service] = u
+	}
+	return u
+}
+
+// limits returns the limits on targets for the queued generation. The caller must hold r.mu.
+func (j *job) limits(now time.Duration) *placer.Limits {
+	terms := j.terms()
+	if terms.HasDeferrable() {
+		if !terms.Defers(j.route) {
+			return placer.NewLimits(true, false)
+		}
+		return placer.NewDeferrableLimits(j.urgentDemandOf(j.serviceName).Headroom(j.sources.Share(), now), j.isRetry())
+	}
+	return placer.NewLimits(!j.isLong(), j.shortArrivalsOf(j.serviceName).RecentBefore(j.priority, now))
+}
+
+// isRetry reports whether the caller has sent the request before.
+func (j *job) isRetry() bool { return j.firstArrival() < j.arrived-minRetryAge }
+
 // firstArrival returns when the caller first sent the request. A caller that
 // retries has less time than the route allows, and keeps its place in the queue.
 func (j *job) firstArrival() time.Duration {
@@ -118,11 +155,24 @@
 		latest = j.deadline - time.Duration(min(j.expectedTokens(), placer.MinLongTokens))*maxTokenTime - placer.PrefillTime(j.request.PromptTokens)
 	}
 	if objective := j.route.LatencyObjective; objective > 0 {
-		latest = min(latest, j.arrived+placer.MaxQueueTime(objective, j.request.PromptTokens))
+		latest = min(latest, j.arrived+j.maxQueueTime(objective))
 	}
 	return latest
 }
 
+// maxQueueTime returns how long the generation may wait for room with an objective.
+func (j *job) maxQueueTime(objective time.Duration) time.Duration {
+	terms := j.terms()
+	switch {
+	case terms.HasDeferrable() && !terms.Defers(j.route):
+		return placer.MaxUrgentQueueTime(objective, j.request.PromptTokens)
+	case terms.HasDeferrable() && j.isRetry():
+		return placer.MaxLateQueueTime(objective)
+	default:
+		return placer.MaxQueueTime(objective, j.request.PromptTokens)
+	}
+}
+
 // leaveQueue removes a request whose deadline has passed or whose caller has
 // disconnected. The request may have been placed at the same moment.
 func (j *job) leaveQueue(w *placer.QueueItem[*waiter]) (*registrar.Target, *placer.Reservation, *bluebelldoor.Refusal) {
@@ -232,7 +282,7 @@
 		return placer.HasRoom
 	}
 	demand := j.demand()
-	demand.Limits = placer.NewLimits(!j.isLong(), j.shortArrivalsOf(j.serviceName).RecentBefore(j.priority, now))
+	demand.Limits = j.limits(now)
 	choice := j.ledger.Pick(candidates, demand, now, rand.Float64)
 	if choice.Index < 0 {
 		return max(choice.Missing, placer.NoPrefillCapacity)
--- a/routing.go
+++ b/routing.go
@@ -110,6 +110,7 @@
 	limits   CallerLimits
 	byHost   map[string][]*RouteSpec
 	services map[string]*ServiceKind
+	terms    map[string]ServiceTerms
 	byKey    map[string]*AccountKeys
 	needsKey bool
 }
@@ -121,12 +122,22 @@
 		limits:   spec.Limits,
 		byHost:   map[string][]*RouteSpec{},
 		services: map[string]*ServiceKind{},
+		terms:    map[string]ServiceTerms{},
 		byKey:    map[string]*AccountKeys{},
 		needsKey: len(spec.Accounts) > 0,
 	}
+	generating := map[string][]*RouteSpec{}
 	for i := range spec.Routes {
 		route := &spec.Routes[i]
 		r.byHost[route.Host] = append(r.byHost[route.Host], route)
+		for _, share := range route.Shares {
+			if route.Generates && share.Weight > 0 {
+				generating[share.Service] = append(generating[share.Service], route)
+			}
+		}
+	}
+	for service, routes := range generating {
+		r.terms[service] = newServiceTerms(routes)
 	}
 	for _, routes := range r.byHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
@@ -165,6 +176,9 @@
 // Service returns the service with this name, nil if there is none.
 func (r *Routing) Service(name string) *ServiceKind { return r.services[name] }
 
+// Terms returns what the generating routes of a service ask of placement.
+func (r *Routing) Terms(service string) ServiceTerms { return r.terms[service] }
+
 // Account returns the client account that holds an API key, nil if none does.
 func (r *Routing) Account(key string) *AccountKeys { return r.byKey[key] }
 
