--- a/code.go
+++ b/code.go
@@ -63,6 +63,8 @@
 	DocumentTooLarge Code = 409
 	BadAddress       Code = 410
 	BadSecret        Code = 411
+	Unused           Code = 412
+	Contradiction    Code = 413
 )
 
 // CodeInfo describes one result code.
@@ -126,6 +128,8 @@
 	DocumentTooLarge:  {"documentTooLarge", 0, "the document exceeds one megabyte"},
 	BadAddress:        {"badAddress", 0, "the address is not IP:port"},
 	BadSecret:         {"badSecret", 0, "the value is not a hexadecimal SHA-256 digest"},
+	Unused:            {"unused", 0, "nothing can use the entry"},
+	Contradiction:     {"contradiction", 0, "the value contradicts another one"},
 }
 
 // Codes returns a copy of the table of result codes.
