--- a/version/auditor/audit_test.go
+++ b/version/auditor/audit_test.go
@@ -153,26 +153,34 @@
 	}
 }
 
-// TestKeysAreMasked guards against API keys in the output: a short key must not appear at
-// all, and no more than the end of a long one.
+// TestKeysAreMasked guards against API keys in the output: nothing of a short key may appear,
+// and no more than the end of a long one.
 func TestKeysAreMasked(t *testing.T) {
-	spec, inForce := newSpec(), newSpec()
-	spec.Accounts[1].Keys = slices.Clone(inForce.Accounts[0].Keys) // held by two accounts, and added
-	spec.Accounts[0].Keys = append(spec.Accounts[0].Keys, spec.Accounts[0].Keys...)
-	var output strings.Builder
-	for _, f := range auditor.Audit(spec, inForce) {
-		output.WriteString(f.Reason + "\n")
-	}
-	for _, d := range auditor.Compare(spec, inForce) {
-		output.WriteString(d.Reason + "\n")
-	}
-	assert.Assert(t, strings.Contains(output.String(), "...cdef (22 bytes)"), "%s", &output)
-	for _, s := range []*bluebelldoor.RoutingSpec{spec, inForce} {
-		for _, a := range s.Accounts {
-			for _, key := range a.Keys {
-				assert.Assert(t, !strings.Contains(output.String(), key), "%s", &output)
-				assert.Assert(t, !strings.Contains(output.String(), key[len(key)-5:]), "%s", &output)
+	for name, c := range map[string]struct{ key, shown string }{
+		"long":         {"north-0123456789abcdef", "...cdef (22 bytes)"},
+		"just long":    {"0123456789abcdef", "...cdef (16 bytes)"},
+		"short":        {"0123456789abcde", "... (15 bytes)"},
+		"very short":   {"zq", "... (2 bytes)"},
+		"broken UTF-8": {"0123456789abcde\xffz", "...dez (17 bytes)"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			spec, inForce := newSpec(), newSpec()
+			spec.Accounts[0].Keys = []string{c.key, c.key}
+			spec.Accounts[1].Keys = []string{c.key}
+			inForce.Accounts[1].Keys = []string{c.key + "0"}
+			reasons := []string{}
+			for _, f := range auditor.Audit(spec, nil) {
+				reasons = append(reasons, f.Reason)
+			}
+			assert.DeepEqual(t, reasons, []string{
+				`account "north" holds the API key ` + c.shown + " twice",
+				`accounts "north" and "south" both hold the API key ` + c.shown,
+			})
+			for _, d := range auditor.Compare(spec, inForce) {
+				assert.Assert(t, !strings.Contains(d.Reason, c.key), "%s", d.Reason)
+				reasons = append(reasons, d.Reason)
 			}
-		}
+			assert.Assert(t, slices.Contains(reasons, `"south": API keys added: `+c.shown), "%v", reasons)
+		})
 	}
 }
--- a/version/auditor/compare.go
+++ b/version/auditor/compare.go
@@ -225,7 +225,7 @@
 // placement are in force.
 func (c *comparison) terms(spec, inForce *bluebelldoor.RoutingSpec) {
 	now, before := bluebelldoor.NewRouting(*spec), bluebelldoor.NewRouting(*inForce)
-	routesNow, routesBefore := generatingRoutes(spec), generatingRoutes(inForce)
+	routesNow, routesBefore := routesByService(spec), routesByService(inForce)
 	for i := range spec.Services {
 		name := spec.Services[i].Name
 		t, was := now.Terms(name), before.Terms(name)
@@ -249,8 +249,8 @@
 	}
 }
 
-// lostTerms adds the routes that had terms in the version in force and no longer send
-// generations to the service.
+// lostTerms adds the routes that had terms in the version in force and no longer name the
+// service.
 func (c *comparison) lostTerms(path, service string, was bluebelldoor.ServiceTerms, now, before []indexedRoute) {
 	remaining := map[string]bool{}
 	for _, r := range now {
@@ -274,15 +274,12 @@
 	route *bluebelldoor.RouteSpec
 }
 
-// generatingRoutes returns the routes by the services to which they send generations.
-func generatingRoutes(spec *bluebelldoor.RoutingSpec) map[string][]indexedRoute {
+// routesByService returns the routes by the services that they name, with any weight.
+func routesByService(spec *bluebelldoor.RoutingSpec) map[string][]indexedRoute {
 	out := map[string][]indexedRoute{}
 	for i := range spec.Routes {
-		r := &spec.Routes[i]
-		for _, s := range r.Shares {
-			if r.Generates && s.Weight > 0 {
-				out[s.Service] = append(out[s.Service], indexedRoute{i, r})
-			}
+		for _, s := range spec.Routes[i].Shares {
+			out[s.Service] = append(out[s.Service], indexedRoute{i, &spec.Routes[i]})
 		}
 	}
 	return out
--- a/version/auditor/compare_test.go
+++ b/version/auditor/compare_test.go
@@ -59,6 +59,16 @@
 			`routes[1] termsChanged: service "engines": Protects("letters") changed from false to true`,
 			`routes[1] termsChanged: service "engines": Defers("letters") changed from true to false`,
 		}},
+		"deferrable route without weight": {func(s *bluebelldoor.RoutingSpec) { s.Routes[1].Shares[0].Weight = 0 }, []string{
+			`routes[1].shares changed: "letters": shares changed from "engines:1" to "engines:0"`,
+			`services[0] termsChanged: service "engines": HasDeferrable changed from true to false`,
+			`routes[1] termsChanged: service "engines": Defers("letters") changed from true to false`,
+		}},
+		"deferrable route to another service": {func(s *bluebelldoor.RoutingSpec) { s.Routes[1].Shares[0].Service = "desk" }, []string{
+			`routes[1].shares changed: "letters": shares changed from "engines:1" to "desk:1"`,
+			`services[0] termsChanged: service "engines": HasDeferrable changed from true to false`,
+			`services[0] termsChanged: service "engines": Defers("letters") changed from true to false`,
+		}},
 		"deferrable route removed": {func(s *bluebelldoor.RoutingSpec) { s.Routes = slices.Delete(s.Routes, 1, 2) }, []string{
 			`routes[1] removed: "letters"`,
 			`services[0] termsChanged: service "engines": HasDeferrable changed from true to false`,
