--- a/terms.go
+++ b/terms.go
@@ -13,13 +13,15 @@
 // ServiceTerms are what the generating routes of a service ask of placement, taken
 // together. The zero value asks for nothing.
 type ServiceTerms struct {
-	// protected and deferrable are sets of route names.
-	protected, deferrable map[string]bool
+	// protected holds the longest event gaps of the protected routes by name, deferrable the
+	// names of the deferrable ones.
+	protected  map[string]time.Duration
+	deferrable map[string]bool
 }
 
 // newServiceTerms derives the terms of a service from its generating routes.
 func newServiceTerms(routes []*RouteSpec) ServiceTerms {
-	t := ServiceTerms{protected: map[string]bool{}, deferrable: map[string]bool{}}
+	t := ServiceTerms{protected: map[string]time.Duration{}, deferrable: map[string]bool{}}
 	byPriority := slices.SortedStableFunc(slices.Values(routes), func(a, b *RouteSpec) int { return cmp.Compare(a.Priority, b.Priority) })
 	t.addProtected(byPriority)
 	t.addDeferrable(byPriority)
@@ -44,7 +46,7 @@
 			return
 		}
 		if r.MaxEventGap > 0 && (r.Timeout == 0 || r.Timeout >= minTermsRatio*shortest) {
-			t.protected[r.Name] = true
+			t.protected[r.Name] = r.MaxEventGap
 		}
 	}
 }
@@ -72,7 +74,22 @@
 // Protects reports whether the streams of a route are protected: they have precedence over
 // all others and may run for much longer, so that a pause in one is likely and is caused by
 // requests that rank below it.
-func (t ServiceTerms) Protects(route *RouteSpec) bool { return t.protected[route.Name] }
+func (t ServiceTerms) Protects(route *RouteSpec) bool {
+	_, protected := t.protected[route.Name]
+	return protected
+}
+
+// ProtectedGap returns the shortest of the longest event gaps of the protected routes, 0 if
+// there are none.
+func (t ServiceTerms) ProtectedGap() time.Duration {
+	shortest := time.Duration(0)
+	for _, gap := range t.protected {
+		if shortest == 0 || gap < shortest {
+			shortest = gap
+		}
+	}
+	return shortest
+}
 
 // HasDeferrable reports whether the service has deferrable routes.
 func (t ServiceTerms) HasDeferrable() bool { return len(t.deferrable) > 0 }
--- a/terms_test.go
+++ b/terms_test.go
@@ -49,6 +49,7 @@
 			terms := bluebelldoor.NewRouting(bluebelldoor.RoutingSpec{Routes: c.routes}).Terms("engines")
 			assert.Equal(t, terms.Protects(&bluebelldoor.RouteSpec{Name: "long"}), c.protected)
 			assert.Equal(t, terms.ProtectsStreams(), c.protected)
+			assert.Equal(t, terms.ProtectedGap() == gap, c.protected)
 			assert.Equal(t, terms.Defers(&bluebelldoor.RouteSpec{Name: "long"}), c.deferrable)
 			assert.Equal(t, terms.HasDeferrable(), c.deferrable)
 			assert.Equal(t, terms.Adaptive(), c.protected || c.deferrable)
