--- a/request/placer/ledger.go
+++ b/request/placer/ledger.go
@@ -53,6 +53,8 @@
 	failureRates map[string]float64
 	// intervals are the times between events that this VM measured.
 	intervals map[string]time.Duration
+	// streamPaces are the intervals in services with protected streams.
+	streamPaces *streamPaces
 	// totals are the loads of this VM and its peers, out of date if dirty.
 	totals map[string]load
 	dirty  bool
@@ -71,6 +73,7 @@
 		peers:        NewPeerLoads(),
 		failureRates: map[string]float64{},
 		intervals:    map[string]time.Duration{},
+		streamPaces:  newStreamPaces(),
 		totals:       map[string]load{},
 		coldRequests: map[string][]time.Duration{},
 
@@ -153,6 +156,7 @@
 	own.streams -= r.streams
 	if own.requests == 0 {
 		delete(r.ledger.own, r.target)
+		r.ledger.streamPaces.recordIdle(r.target)
 	}
 	r.ledger.dirty = true
 }
@@ -203,6 +207,7 @@
 	delete(l.coldRequests, target)
 	delete(l.unreachable, target)
 	delete(l.stalls, target)
+	l.streamPaces.forget(target)
 }
 
 // TargetCount returns the number of targets with load or history of this VM.
@@ -225,6 +230,11 @@
 	for id := range l.intervals {
 		seen[id] = true
 	}
+	for id, pace := range l.streamPaces.targets {
+		if pace.intervals > 0 {
+			seen[id] = true
+		}
+	}
 	for id := range l.own {
 		seen[id] = true
 	}
@@ -237,6 +247,7 @@
 	for target, own := range l.own {
 		out = append(out, bluebelldoor.TargetLoad{Target: target, Requests: own.requests, Tokens: own.tokens, HeldTokens: own.held, PrefillTokens: own.prefill, Streams: own.streams})
 	}
+	out = l.appendIdleLoads(out)
 	l.setIntervals(out)
 	return out
 }
@@ -244,6 +255,7 @@
 // ApplyPeerLoads applies a peer's load report, received at now. It returns false
 // for a report of changes if the peer's earlier loads have expired.
 func (l *Ledger) ApplyPeerLoads(name string, delta bluebelldoor.LoadDelta, now time.Duration) bool {
+	l.streamPaces.recordPeers(delta.Loads)
 	if delta.After > 0 {
 		return l.peers.Update(name, delta.Loads, now)
 	}
--- a/request/placer/pace.go
+++ b/request/placer/pace.go
@@ -43,6 +43,15 @@
 	l.intervals[target] = interval
 }
 
+// intervalFor returns the interval of a target that counts for a demand. Where streams are
+// protected it is the usual one, which peers' reports outlast.
+func (l *Ledger) intervalFor(target string, d Demand) time.Duration {
+	if d.MixesStreams {
+		return l.usualInterval(target)
+	}
+	return l.interval(target)
+}
+
 // interval returns the time between events of a target as this VM measured it, or
 // else as peers did; 0 if none has.
 func (l *Ledger) interval(target string) time.Duration {
@@ -60,7 +69,7 @@
 	}
 	var known []time.Duration
 	for _, c := range candidates {
-		if interval := l.interval(c.Instance.ID); interval > 0 {
+		if interval := l.intervalFor(c.Instance.ID, d); interval > 0 {
 			known = append(known, interval)
 		}
 	}
@@ -73,8 +82,8 @@
 
 // intervalCost returns the cost of a target's event interval relative to that of
 // the fast ones.
-func (l *Ledger) intervalCost(c Candidate, fast time.Duration) float64 {
-	interval := l.interval(c.Instance.ID)
+func (l *Ledger) intervalCost(c Candidate, d Demand, fast time.Duration) float64 {
+	interval := l.intervalFor(c.Instance.ID, d)
 	if interval == 0 || fast == 0 {
 		return 0
 	}
@@ -84,9 +93,14 @@
 // rounded returns an interval as it is reported to peers.
 func rounded(interval time.Duration) time.Duration { return interval.Round(reportedIntervalUnit) }
 
-// setIntervals sets the event intervals in the loads reported to peers.
+// setIntervals sets the event intervals in the loads reported to peers: the usual ones where
+// streams are protected.
 func (l *Ledger) setIntervals(loads []bluebelldoor.TargetLoad) {
 	for i := range loads {
-		loads[i].EventIntervalMs = int(rounded(l.intervals[loads[i].Target]).Milliseconds())
+		interval := l.intervals[loads[i].Target]
+		if usual := l.streamPaces.targets[loads[i].Target].own; usual > 0 {
+			interval = usual
+		}
+		loads[i].EventIntervalMs = int(rounded(interval).Milliseconds())
 	}
 }
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -79,7 +79,7 @@
 	Long bool
 	// MixesStreams is set if the service has protected streams; Protected marks one.
 	MixesStreams, Protected bool
-	// MaxEventGap is the longest gap between events of a protected stream, 0 for no limit.
+	// MaxEventGap is the longest gap between events of the service's protected streams.
 	MaxEventGap time.Duration
 	DataCentre  string
 	Engine      *bluebelldoor.EngineKind
@@ -113,6 +113,11 @@
 	FailureRate float64
 	// Missing is what the targets lacked if none was chosen for want of room.
 	Missing Room
+	// Protected is that of the demand. In a service with protected streams, ExpectedGap is the
+	// gap that a stream must expect on the candidate, 0 if no interval is known, and Safe
+	// reports whether protected streams keep to their limit there.
+	Protected, Safe bool
+	ExpectedGap     time.Duration
 }
 
 // Pick chooses the candidate with the lowest cost at now. random returns
@@ -139,7 +144,7 @@
 			continue
 		}
 		cost, full := l.loadCost(c, d, medianFailures)
-		cost += l.stallCost(c, d, now) + l.intervalCost(c, fast) + pauses.cost(l.totals[c.Instance.ID], l.interval(c.Instance.ID))
+		cost += l.stallCost(c, d, now) + l.intervalCost(c, d, fast) + pauses.cost(l.totals[c.Instance.ID], l.usualInterval(c.Instance.ID))
 		if l.isUnreachable(c.Instance.ID, now) {
 			cost += unreachableCost
 		}
@@ -153,6 +158,7 @@
 			if d.Engine != nil {
 				best.MemoryShare = float64(total.tokens+d.Tokens) / float64(max(1, d.Engine.MemoryTokens))
 			}
+			pauses.describe(&best, c, l)
 		}
 	}
 	return best
