--- a/process/recorder/relaymetrics.go
+++ b/process/recorder/relaymetrics.go
@@ -10,7 +10,7 @@
 )
 
 // RelayMetrics are the counters and histograms of relayed requests. Label
-// values are limited to priorities, result codes and move outcomes.
+// values are limited to priorities, result codes, outcomes and steps.
 type RelayMetrics struct {
 	registry     *prometheus.Registry
 	requestTime  *prometheus.HistogramVec
@@ -19,6 +19,7 @@
 	answers      *prometheus.CounterVec
 	moves        *prometheus.CounterVec
 	permits      *prometheus.CounterVec
+	protected    *prometheus.CounterVec
 }
 
 // NewRelayMetrics returns metrics with their own registry.
@@ -37,8 +38,11 @@
 		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "permits_total", Help: "Requests for permits to send to limited targets, by outcome.",
 		}, []string{"outcome"}),
+		protected: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "protected_streams_total", Help: "Targets chosen for protected streams at their start or for a move, by whether they are safe.",
+		}, []string{"step", "target"}),
 	}
-	m.registry.MustRegister(m.requestTime, m.firstEvent, m.capacityWait, m.answers, m.moves, m.permits)
+	m.registry.MustRegister(m.requestTime, m.firstEvent, m.capacityWait, m.answers, m.moves, m.permits, m.protected)
 	return m
 }
 
@@ -73,6 +77,16 @@
 // CountPermit counts a request for a permit.
 func (m *RelayMetrics) CountPermit(outcome string) { m.permits.WithLabelValues(outcome).Inc() }
 
+// CountProtected counts a target that was chosen for a protected stream, at its start or for a
+// move.
+func (m *RelayMetrics) CountProtected(step string, safe bool) {
+	target := "unsafe"
+	if safe {
+		target = "safe"
+	}
+	m.protected.WithLabelValues(step, target).Inc()
+}
+
 // Gauges are current values of a VM's state.
 type Gauges struct {
 	RoutingVersion float64
--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -193,6 +193,9 @@
 	reservation.UpdateMemory(max(tokens, demand.Tokens), tokens)
 	if demand.Protected {
 		reservation.Protect()
+		j.Metrics.CountProtected("move", choice.Safe)
+		j.log.Info("destination chosen", "id", j.request.ID, "source", source.ID, "target", targets[choice.Index].ID, "of", n,
+			"cost", round3(choice.Cost), "prefill", choice.Prefill, "gapMs", choice.ExpectedGap.Milliseconds(), "safe", choice.Safe)
 	}
 	return targets[choice.Index], reservation
 }
--- a/request/relayer/move_test.go
+++ b/request/relayer/move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -223,3 +224,143 @@
 		assert.Equal(t, len(r.StreamingTargets()), 1)
 	})
 }
+
+// protectingRouting has a protected route, and a short one that ranks below it and sets no
+// event gap of its own.
+func protectingRouting() bluebelldoor.RoutingSpec {
+	shares := []bluebelldoor.ServiceShare{{Service: "s", Weight: 1}}
+	return bluebelldoor.RoutingSpec{Version: 1, Routes: []bluebelldoor.RouteSpec{
+		{Name: "long", Host: "h", Prefix: "/long/", Streamed: true, Generates: true, Timeout: 39 * time.Second, MaxEventGap: 180 * time.Millisecond, Shares: shares},
+		{Name: "short", Host: "h", Prefix: "/short/", Streamed: true, Generates: true, Timeout: 6 * time.Second, Priority: 1, Shares: shares},
+	}}
+}
+
+// protectedJob returns a job on a route of protectingRouting with engines source, slow and fast.
+func protectedJob(t *testing.T, route int) *job {
+	clock := testClock{time.Now()}
+	routing := protectingRouting()
+	reg := registrar.New(routingCatalogue{fakeCatalogue{"source slow fast"}, routing}, clock, registrar.Role{
+		ReadsForPeers: func() bool { return true }, Standby: func() bool { return false }, Changed: func() {},
+	}, hclog.NewNullLogger())
+	t.Cleanup(reg.Start())
+	synctest.Wait()
+	r := New(Settings{DataCentre: "dc"}, Sources{View: reg.View, EvidenceAge: reg.EvidenceAge, Share: func() float64 { return 1 }}, Dependencies{
+		Pauses: pauser.New(clock, hclog.NewNullLogger()), Limits: limiter.New(limiter.Fleet{}, clock, hclog.NewNullLogger()), Metrics: recorder.NewRelayMetrics(),
+	}, clock, hclog.NewNullLogger())
+	return &job{
+		Relayer: r, ctx: t.Context(), serviceName: "s", request: &bluebelldoor.RelayRequest{ID: "1", PromptTokens: 100}, route: &routing.Routes[route],
+		service: &bluebelldoor.ServiceKind{Engine: &bluebelldoor.EngineKind{CanCopy: true, TokensPerEvent: 4, MemoryTokens: 10_000}},
+	}
+}
+
+// TestProtectedMove guards against a protected stream that moves to an engine where a prompt
+// would make it late although another has room, and against such moves that go uncounted.
+func TestProtectedMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := protectedJob(t, 0)
+		for target, interval := range map[string]time.Duration{"slow": 40 * time.Millisecond, "fast": 20 * time.Millisecond} {
+			s := &stream{job: j, target: j.sources.View().Target(target), mixes: true}
+			s.recordIntervals([]time.Duration{interval, interval, interval, interval})
+		}
+		j.ledger.Start("fast", 1000, 0)
+		destination, reservation := j.reserveDestination(j.sources.View().Target("source"), map[string]bool{"source": true}, 500)
+		assert.Equal(t, destination.ID, "fast")
+		for _, load := range j.Loads() {
+			assert.Equal(t, load.Streams, map[string]int{"fast": 1}[load.Target], load.Target)
+		}
+		reservation.End()
+		assert.Equal(t, protectedCount(t, j, "move", "safe"), 1.0)
+	})
+}
+
+// TestStreamSamples guards against an engine whose pace stays unknown because its streams have
+// only a few events, or because nothing is recorded before the sixteenth.
+func TestStreamSamples(t *testing.T) {
+	for name, c := range map[string]struct {
+		route, events int
+		ends          bool
+		wantMs        int // reported interval
+	}{
+		"a long one before its first sample":    {0, 4, false, 0},
+		"a long one with its first sample":      {0, 5, false, 20},
+		"a short one that ended":                {1, 3, true, 20},
+		"an ended one of two events, the last":  {1, 2, true, 0},
+		"a short one that has not ended":        {1, 3, false, 0},
+		"a long one that ended after a sample":  {0, 6, true, 20},
+		"a long one that ended without a cause": {0, 1, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				j := protectedJob(t, c.route)
+				s := &stream{job: j, target: j.sources.View().Target("slow"), mixes: true}
+				reservation := j.ledger.Start("slow", 1000, 100)
+				for range c.events {
+					time.Sleep(20 * time.Millisecond)
+					s.events.count++
+					s.recordTiming()
+					if s.isSampleDue() {
+						j.updateReservation(s, reservation)
+					}
+					s.forwarded = s.events.count
+				}
+				if c.ends {
+					s.recordShortStream()
+				}
+				loads := j.Loads()
+				assert.Equal(t, len(loads), 1)
+				assert.Equal(t, loads[0].EventIntervalMs, c.wantMs)
+			})
+		})
+	}
+}
+
+// TestShortDemand guards against a short request that disturbs protected streams because its
+// own route sets no event gap.
+func TestShortDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		long, short := protectedJob(t, 0).demand(), protectedJob(t, 1).demand()
+		assert.Assert(t, long.MixesStreams && long.Protected && short.MixesStreams && !short.Protected)
+		assert.Equal(t, short.MaxEventGap, long.MaxEventGap)
+	})
+}
+
+// protectedCount returns a value of the counter of protected streams.
+func protectedCount(t *testing.T, j *job, step, target string) float64 {
+	families, err := j.Metrics.Registry().Gather()
+	assert.NilError(t, err)
+	for _, family := range families {
+		if family.GetName() != "bluebelldoor_protected_streams_total" {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			labels := map[string]string{}
+			for _, label := range metric.GetLabel() {
+				labels[label.GetName()] = label.GetValue()
+			}
+			if labels["step"] == step && labels["target"] == target {
+				return metric.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
+
+// TestProtectedChoiceIsLogged guards against an operator who cannot see whether protected
+// streams run on safe targets.
+func TestProtectedChoiceIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := protectedJob(t, 0)
+		var out strings.Builder
+		j.log = hclog.New(&hclog.LoggerOptions{Output: &out})
+		for _, target := range []string{"source", "slow", "fast"} {
+			s := &stream{job: j, target: j.sources.View().Target(target), mixes: true}
+			s.recordIntervals(slices.Repeat([]time.Duration{40 * time.Millisecond}, 4))
+		}
+		target, reservation, refusal := j.place()
+		assert.Assert(t, target != nil && refusal == nil)
+		reservation.End()
+		assert.Assert(t, strings.Contains(out.String(), "target chosen") && strings.Contains(out.String(), "gapMs=200 safe=false"), out.String())
+		assert.Equal(t, protectedCount(t, j, "start", "unsafe"), 1.0)
+		assert.Equal(t, protectedCount(t, j, "start", "safe"), 0.0)
+	})
+}
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -21,7 +21,10 @@
 		d.Tokens, d.HeldTokens, d.Long = j.request.PromptTokens+j.expectedTokens(), j.request.PromptTokens, j.isLong()
 	}
 	if terms := j.terms(); j.route.Generates && terms.ProtectsStreams() {
-		d.MixesStreams, d.Protected, d.MaxEventGap = true, terms.Protects(j.route), j.route.MaxEventGap
+		d.MixesStreams, d.Protected, d.MaxEventGap = true, terms.Protects(j.route), terms.ProtectedGap()
+		if d.Protected {
+			d.MaxEventGap = j.route.MaxEventGap
+		}
 		d.Long = d.Long || d.Protected
 	}
 	if j.service.ColdPerSecond > 0 {
@@ -107,8 +110,8 @@
 	return reservation
 }
 
-// logChoice logs the choice of a target. The caller must hold r.mu, which is
-// safe as logging does not block.
+// logChoice logs the choice of a target, and counts it if the stream is protected. The
+// caller must hold r.mu, which is safe as logging does not block.
 func (j *job) logChoice(t *registrar.Target, choice placer.Choice, candidates int, now time.Duration) {
 	limit, limited := j.Limits.Limit(t.Instance)
 	if !limited {
@@ -118,7 +121,11 @@
 		"prompt", j.request.PromptTokens, "expected", j.expectedTokens(),
 		"cost", round3(choice.Cost), "requests", choice.Requests, "tokens", choice.Tokens, "held", choice.Held, "prefill", choice.Prefill,
 		"failures", round3(choice.FailureRate), "coldMs", max(0, t.ColdUntil-now).Milliseconds(), "full", choice.Full, "limit", limit,
+		"gapMs", choice.ExpectedGap.Milliseconds(), "safe", choice.Safe,
 		"waitedMs", (now - j.arrived).Milliseconds(), "waiting", j.queueLength())
+	if choice.Protected {
+		j.Metrics.CountProtected("start", choice.Safe)
+	}
 }
 
 // round3 rounds to three decimals, for log lines.
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -19,6 +19,9 @@
 	// reservationUpdateEvents is how many events are forwarded between two
 	// updates of the memory that a stream is expected to need.
 	reservationUpdateEvents = 16
+	// firstSampleIntervals is the size of the first sample of a stream on a target in a service
+	// with protected streams. Engines stay for seconds only, so their interval is needed soon.
+	firstSampleIntervals = 4
 	// expectedRestRatio is the expected rest of a generation that has outgrown
 	// its estimate, relative to what it has produced: the distribution of lengths
 	// is heavy-tailed.
@@ -53,6 +56,9 @@
 	// intervals are the times between events since the target's event interval
 	// was last updated.
 	intervals []time.Duration
+	// mixes is set in a service with protected streams, sampled once the stream has recorded
+	// intervals of its target there.
+	mixes, sampled bool
 	// resumesOnLeaving is how many times the stream resumed on a leaving target.
 	resumesOnLeaving int
 	// resumed reports whether the next event is the first after a move.
@@ -99,14 +105,40 @@
 	expected := max(j.expectedTokens(), int(float64(generated)*(1+expectedRestRatio)))
 	j.mu.Lock()
 	reservation.UpdateMemory(j.request.PromptTokens+expected, j.request.PromptTokens+generated)
-	j.ledger.RecordIntervals(s.target.ID, s.intervals)
+	s.recordIntervals(s.intervals)
 	j.mu.Unlock()
 	s.intervals = s.intervals[:0]
 }
 
+// recordIntervals records a sample of the target's event intervals. The caller must hold r.mu.
+func (s *stream) recordIntervals(sample []time.Duration) {
+	s.job.ledger.RecordIntervals(s.target.ID, sample)
+	if s.mixes {
+		s.job.ledger.RecordStreamIntervals(s.job.serviceName, s.target.ID, sample)
+	}
+	s.sampled = true
+}
+
+// isSampleDue reports whether the events that have just arrived complete a sample.
+func (s *stream) isSampleDue() bool {
+	return s.forwarded/reservationUpdateEvents != s.events.count/reservationUpdateEvents ||
+		s.mixes && !s.sampled && len(s.intervals) >= firstSampleIntervals
+}
+
+// recordShortStream records the intervals of a stream that ended before its first sample,
+// without the last one: the last event may hold fewer tokens.
+func (s *stream) recordShortStream() {
+	if !s.mixes || s.sampled || len(s.intervals) < 2 {
+		return
+	}
+	s.job.mu.Lock()
+	s.recordIntervals(s.intervals[:len(s.intervals)-1])
+	s.job.mu.Unlock()
+}
+
 // forwardStream forwards events as they arrive, and continues on other engines.
 func (j *job) forwardStream(t *registrar.Target, response *exchanger.Response, reservation *placer.Reservation) {
-	s := &stream{job: j, target: t, memory: j.Memory.Begin()}
+	s := &stream{job: j, target: t, memory: j.Memory.Begin(), mixes: j.route.Generates && j.terms().ProtectsStreams()}
 	defer s.memory.End()
 	j.mu.Lock()
 	j.streams[s] = struct{}{}
@@ -130,6 +162,7 @@
 	for {
 		err := s.forwardResponse(response, reservation)
 		if err == nil {
+			s.recordShortStream()
 			j.logOutcome("answered", bluebelldoor.OK, "", append(s.timingFields(), "moves", moves)...)
 			return
 		}
@@ -139,7 +172,7 @@
 			s.abort(err)
 			return
 		}
-		s.resumed, s.intervals = true, nil
+		s.resumed, s.sampled, s.intervals = true, false, nil
 		response, reservation = s.continueStream(err)
 		if response == nil {
 			s.abort(err)
@@ -301,7 +334,7 @@
 		return err
 	}
 	s.recordTiming()
-	first, due := s.forwarded == 0, s.forwarded/reservationUpdateEvents != s.events.count/reservationUpdateEvents
+	first, due := s.forwarded == 0, s.isSampleDue()
 	s.job.traffic.add(s.events.count-s.forwarded, len(complete))
 	s.mu.Lock()
 	s.forwarded = s.events.count
