--- a/request/placer/pauses.go
+++ b/request/placer/pauses.go
@@ -26,6 +26,21 @@
 	// safeCost applies to a safe target, for a request that isn't a protected stream: it takes
 	// slots and memory that protected streams would need, but makes none of them late.
 	safeCost = 0.5
+	// crowdingCost applies to each protected stream on a safe target, for a stream that is moved
+	// there: safe targets are needed for the prompts of new streams.
+	crowdingCost = 0.7
+	// openingCost applies to a target that is not safe and has no protected streams, for a stream
+	// that is moved there: other requests have their prompts read on such targets.
+	openingCost = 1.5
+	// maxSafeStreams is how many protected streams may stay on a safe target while other targets
+	// can take them without being disturbed.
+	maxSafeStreams = 1
+	// assumedInterval is the usual event interval of a target that reads prompts at
+	// prefillTokensPerSecond. The time to read a prompt is proportional to the interval, within
+	// minPrefillFactor and maxPrefillFactor.
+	assumedInterval  = 28 * time.Millisecond
+	minPrefillFactor = 0.5
+	maxPrefillFactor = 2.5
 	// moveEventCost applies to the destination of a protected stream whose next event is
 	// expected to take as long as the longest gap. The caller's gap consists of the copy and
 	// this event, so it costs as much as a copy to another data centre.
@@ -103,14 +118,13 @@
 	}
 	switch {
 	case m.demand.Protected:
-		cost := disturbed
-		if !safe {
-			cost += unsafeCost
-		}
 		if m.demand.IsCopy {
-			cost += m.moveCost(total, interval)
+			return m.copyCost(total, interval)
 		}
-		return cost
+		if !safe {
+			return disturbed + unsafeCost
+		}
+		return 0
 	case safe:
 		return safeCost
 	case m.demand.IsCopy:
@@ -120,6 +134,41 @@
 	}
 }
 
+// copyCost returns the cost of the destination of a protected stream. The stream's own prompt is
+// not read again, so that it disturbs nobody there, and is safe where no others are read.
+func (m *pauseModel) copyCost(total load, interval time.Duration) float64 {
+	cost := m.moveCost(total, interval)
+	switch {
+	case m.isSafe(interval):
+		cost += crowdingCost * float64(total.streams)
+	case total.streams == 0:
+		cost += openingCost
+	}
+	return cost
+}
+
+// excludes reports whether a target is no destination for a stream that is moved to free a safe
+// target.
+func (m *pauseModel) excludes(total load, interval time.Duration) bool {
+	return m.demand.IsRelief && (total.prefill > 0 || m.isSafe(interval))
+}
+
+// prefillFactor returns how much longer than assumed a target takes to read a prompt.
+func (m *pauseModel) prefillFactor(interval time.Duration) float64 {
+	if interval = m.orUsual(interval); !m.demand.MixesStreams || interval == 0 {
+		return 1
+	}
+	return min(max(float64(interval)/float64(assumedInterval), minPrefillFactor), maxPrefillFactor)
+}
+
+// IsCrowded reports whether a protected stream on a target is to move to another, if one can take
+// it: the target is one of the safe ones and has enough streams.
+func (l *Ledger) IsCrowded(target string, candidates []Candidate, d Demand, now time.Duration) bool {
+	l.updateTotals(now)
+	m := l.newPauseModel(candidates, d)
+	return d.Protected && l.totals[target].streams > maxSafeStreams && m.isSafe(l.usualInterval(target))
+}
+
 // moveCost returns the cost of the first event at the destination of a move.
 func (m *pauseModel) moveCost(total load, interval time.Duration) float64 {
 	cost := moveEventCost * float64(m.orUsual(interval)) / float64(max(m.demand.MaxEventGap, time.Millisecond))
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -93,6 +93,9 @@
 	// and targets in its data centre are preferred, as copies to others take twice
 	// as long.
 	IsCopy bool
+	// IsRelief marks the copy of a protected stream that is moved only to free a safe target
+	// for the prompts of others.
+	IsRelief bool
 	// Limits, if set, excludes targets whose load exceeds them.
 	Limits *Limits
 }
@@ -135,7 +138,7 @@
 			best.Missing = max(best.Missing, NoConnection)
 			continue
 		}
-		if lacks := l.lacks(c, d); lacks != HasRoom {
+		if lacks := l.lacks(c, d, pauses); lacks != HasRoom {
 			best.Missing = max(best.Missing, lacks)
 			continue
 		}
@@ -143,7 +146,10 @@
 			best.Missing = max(best.Missing, NoMemory)
 			continue
 		}
-		cost, full := l.loadCost(c, d, medianFailures)
+		if pauses.excludes(l.totals[c.Instance.ID], l.usualInterval(c.Instance.ID)) {
+			continue
+		}
+		cost, full := l.loadCost(c, d, medianFailures, pauses)
 		cost += l.stallCost(c, d, now) + l.intervalCost(c, d, fast) + pauses.cost(l.totals[c.Instance.ID], l.usualInterval(c.Instance.ID))
 		if l.isUnreachable(c.Instance.ID, now) {
 			cost += unreachableCost
@@ -176,7 +182,7 @@
 
 // loadCost returns the cost of a candidate by its failures, location, state and
 // load, and whether it has no free slot.
-func (l *Ledger) loadCost(c Candidate, d Demand, medianFailures float64) (float64, bool) {
+func (l *Ledger) loadCost(c Candidate, d Demand, medianFailures float64, pauses pauseModel) (float64, bool) {
 	total := l.totals[c.Instance.ID]
 	cost := failureCost * math.Max(0, l.failureRates[c.Instance.ID]-medianFailures)
 	if c.Instance.DataCentre != d.DataCentre {
@@ -205,7 +211,7 @@
 		cost += 2*share*share*share + overcommitCost*max(0, share-threshold)
 		cost += unmovableCost * unmovableShare(total.held+d.HeldTokens, d.Engine)
 		if !d.IsCopy {
-			cost += float64(total.prefill) / prefillTokensPerUnit
+			cost += float64(total.prefill) / prefillTokensPerUnit * pauses.prefillFactor(l.usualInterval(c.Instance.ID))
 		}
 	}
 	if full {
--- a/request/placer/room.go
+++ b/request/placer/room.go
@@ -84,9 +84,13 @@
 // CopyLimits are the limits for the copy of a running generation.
 var CopyLimits = &Limits{PrefillTokens: math.Inf(1), HeldShare: 1}
 
+// ReliefLimits are the limits for a protected stream that is moved to free a safe target. It
+// leaves room for those that have to move because their target leaves.
+var ReliefLimits = &Limits{PrefillTokens: math.Inf(1), HeldShare: maxLongHeldShare}
+
 // lacks returns what a target lacks for a generation. An idle one has room for
 // any.
-func (l *Ledger) lacks(c Candidate, d Demand) Room {
+func (l *Ledger) lacks(c Candidate, d Demand, pauses pauseModel) Room {
 	total := l.totals[c.Instance.ID]
 	if d.Limits == nil || d.Engine == nil || total.requests == 0 {
 		return HasRoom
@@ -94,7 +98,7 @@
 	memory := float64(d.Engine.MemoryTokens)
 	slots := slotLimit(c, d)
 	switch {
-	case float64(total.prefill) > d.Limits.PrefillTokens || slots > 0 && total.requests >= slots:
+	case float64(total.prefill)*pauses.prefillFactor(l.usualInterval(c.Instance.ID)) > d.Limits.PrefillTokens || slots > 0 && total.requests >= slots:
 		return NoPrefillCapacity
 	case float64(total.held+d.HeldTokens) > d.Limits.HeldShare*memory,
 		d.Limits.NeededShare > 0 && float64(total.tokens+d.Tokens) > d.Limits.NeededShare*memory:
--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -103,6 +103,16 @@
 	if j.service.Engine == nil || !j.service.Engine.CanCopy || !s.awaitFirstEvent(t) {
 		return
 	}
+	s.awaitRelief()
+	j.moveTo(s, t, j.reserveDestination, false)
+}
+
+// reserver reserves a destination for a copy of a generation of the given size, nil if there is
+// none.
+type reserver func(source *registrar.Target, tried map[string]bool, tokens int) (*registrar.Target, *placer.Reservation)
+
+// moveTo moves a generation to a destination that reserve returns.
+func (j *job) moveTo(s *stream, t *registrar.Target, reserve reserver, budgeted bool) {
 	lifecycle := j.newLifecycle()
 	tokens := j.request.PromptTokens + s.forwardedEvents()*j.service.Engine.TokensPerEvent
 	releaseSource := j.Turns.Acquire(j.ctx, t.ID, j.request.ID, tokens)
@@ -114,11 +124,11 @@
 			lifecycle.fire(streamEnded)
 			return
 		}
-		destination, reservation, releaseDestination := j.acquireDestination(t, tried, tokens)
+		destination, reservation, releaseDestination := j.acquireDestination(t, tried, tokens, reserve)
 		if destination == nil {
 			break
 		}
-		j.copyTo(s, t, destination, reservation, lifecycle)
+		j.copyTo(s, t, &move{done: make(chan struct{}), target: destination, reservation: reservation, budgeted: budgeted}, lifecycle)
 		releaseDestination()
 		if lifecycle.ended() {
 			return
@@ -126,6 +136,10 @@
 		tried[destination.ID] = true
 	}
 	lifecycle.fire(noDestination)
+	if budgeted {
+		j.log.Debug("no engine can take the stream off a crowded one", "id", j.request.ID, "source", t.ID)
+		return
+	}
 	j.log.Warn("no engine accepts the generation", "id", j.request.ID, "source", t.ID, "tokens", tokens, "tried", len(tried)-1)
 }
 
@@ -147,10 +161,10 @@
 // acquireDestination reserves an engine that is the destination of no other copy,
 // since the last copy of one generation would wait for the first copy of the
 // other. If all engines are taken, it reserves the best of them.
-func (j *job) acquireDestination(source *registrar.Target, tried map[string]bool, tokens int) (*registrar.Target, *placer.Reservation, func()) {
+func (j *job) acquireDestination(source *registrar.Target, tried map[string]bool, tokens int, reserve reserver) (*registrar.Target, *placer.Reservation, func()) {
 	excluded := maps.Clone(tried)
 	for range maxDestinations {
-		destination, reservation := j.reserveDestination(source, excluded, tokens)
+		destination, reservation := reserve(source, excluded, tokens)
 		if destination == nil {
 			break
 		}
@@ -160,7 +174,7 @@
 		j.endReservation(reservation)
 		excluded[destination.ID] = true
 	}
-	destination, reservation := j.reserveDestination(source, tried, tokens)
+	destination, reservation := reserve(source, tried, tokens)
 	return destination, reservation, func() {}
 }
 
@@ -177,8 +191,7 @@
 			n++
 		}
 	}
-	demand := j.demand()
-	demand.DataCentre, demand.IsCopy, demand.HeldTokens, demand.Limits = source.DataCentre, true, tokens, placer.CopyLimits
+	demand := j.copyDemand(source, tokens)
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	choice := j.ledger.Pick(candidates[:n], demand, now, rand.Float64)
@@ -189,15 +202,27 @@
 	if choice.Index < 0 {
 		return nil, nil
 	}
-	reservation := j.ledger.Start(targets[choice.Index].ID, 0, 0)
-	reservation.UpdateMemory(max(tokens, demand.Tokens), tokens)
+	return targets[choice.Index], j.reserveCopy(source, targets[choice.Index], choice, demand, n)
+}
+
+// copyDemand returns the requirements of a copy of the generation on its destination.
+func (j *job) copyDemand(source *registrar.Target, tokens int) placer.Demand {
+	demand := j.demand()
+	demand.DataCentre, demand.IsCopy, demand.HeldTokens, demand.Limits = source.DataCentre, true, tokens, placer.CopyLimits
+	return demand
+}
+
+// reserveCopy records the copy of a generation on its destination. The caller must hold r.mu.
+func (j *job) reserveCopy(source, destination *registrar.Target, choice placer.Choice, demand placer.Demand, candidates int) *placer.Reservation {
+	reservation := j.ledger.Start(destination.ID, 0, 0)
+	reservation.UpdateMemory(max(demand.HeldTokens, demand.Tokens), demand.HeldTokens)
 	if demand.Protected {
 		reservation.Protect()
 		j.Metrics.CountProtected("move", choice.Safe)
-		j.log.Info("destination chosen", "id", j.request.ID, "source", source.ID, "target", targets[choice.Index].ID, "of", n,
+		j.log.Info("destination chosen", "id", j.request.ID, "source", source.ID, "target", destination.ID, "of", candidates, "relief", demand.IsRelief,
 			"cost", round3(choice.Cost), "prefill", choice.Prefill, "gapMs", choice.ExpectedGap.Milliseconds(), "safe", choice.Safe)
 	}
-	return targets[choice.Index], reservation
+	return reservation
 }
 
 // hasUnlimited reports whether a target that has not been tried has no limit.
@@ -210,7 +235,8 @@
 
 // copyTo copies a generation to a destination. It ends the reservation there
 // unless the stream will continue there.
-func (j *job) copyTo(s *stream, source, destination *registrar.Target, reservation *placer.Reservation, lifecycle *moveLifecycle) {
+func (j *job) copyTo(s *stream, source *registrar.Target, m *move, lifecycle *moveLifecycle) {
+	destination, reservation := m.target, m.reservation
 	began := j.clock.Now()
 	first, err := j.copyWithRetry(source, destination, false)
 	if err != nil {
@@ -220,7 +246,6 @@
 		return
 	}
 	took := j.clock.Now() - began
-	m := &move{done: make(chan struct{}), target: destination, reservation: reservation}
 	if !s.startMove(m, source) {
 		j.endReservation(reservation)
 		j.freeCopy(source, first.Handle)
--- a/request/relayer/resume.go
+++ b/request/relayer/resume.go
@@ -63,7 +63,7 @@
 	if m.copyID == "" {
 		return nil, nil
 	}
-	if response := s.resumeCopyAt(m.target, m.copyID); response != nil {
+	if response := s.resumeCopyAt(m.target, m.copyID, m.budgeted); response != nil {
 		return response, m.reservation
 	}
 	j.endReservation(m.reservation)
@@ -71,12 +71,12 @@
 		return nil, nil
 	}
 	// The source keeps the memory of a generation that it stopped.
-	return s.resumeCopyAt(source, m.copyID), nil
+	return s.resumeCopyAt(source, m.copyID, false), nil
 }
 
 // resumeCopyAt asks a target to resume from a copy. It returns nil if the target
 // does not.
-func (s *stream) resumeCopyAt(t *registrar.Target, copyID string) *exchanger.Response {
+func (s *stream) resumeCopyAt(t *registrar.Target, copyID string, budgeted bool) *exchanger.Response {
 	j := s.job
 	request := j.targetRequest(t, s.events.lastID, copyID)
 	request.NewConn = true
@@ -86,7 +86,9 @@
 		j.Metrics.CountMoveStep("notResumed")
 		return nil
 	}
-	j.takeRetryBudget(1)
+	if !budgeted {
+		j.takeRetryBudget(1)
+	}
 	response, err := j.Targets.Send(j.ctx, t.Instance, request)
 	if err != nil {
 		j.log.Warn("copy not resumed", "id", j.request.ID, "target", t.ID, "error", err)
