--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -124,11 +124,7 @@
 
 // limits returns the limits on targets for the queued generation. The caller must hold r.mu.
 func (j *job) limits(now time.Duration) *placer.Limits {
-	terms := j.terms()
-	if terms.HasDeferrable() {
-		if !terms.Defers(j.route) {
-			return placer.NewLimits(true, false)
-		}
+	if j.terms().Defers(j.route) {
 		return placer.NewDeferrableLimits(j.urgentDemandOf(j.serviceName).Headroom(j.sources.Share(), now), j.isRetry())
 	}
 	return placer.NewLimits(!j.isLong(), j.shortArrivalsOf(j.serviceName).RecentBefore(j.priority, now))
