--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -17,9 +17,6 @@
 	// maxTokenTime is the time per generated token, taken from the objective
 	// between tokens, by which a generation is judged too late to end in time.
 	maxTokenTime = 20 * time.Millisecond
-	// minRetryAge is by how much less time than the route allows a request has at least
-	// that was sent before; callers may round, and connections take time.
-	minRetryAge = time.Second
 )
 
 // placement is the result of queueing a generation: a target or a refusal.
@@ -78,7 +75,7 @@
 	w.ExpiresAt = j.latestStart()
 	w.StartBy = w.ExpiresAt
 	terms := j.terms()
-	urgent := terms.HasDeferrable() && !terms.Defers(j.route)
+	urgent := terms.IsUrgent(j.route)
 	if objective := j.route.LatencyObjective; objective > 0 {
 		w.StartBy = w.OrderTime + placer.MaxStartDelay(objective, j.request.PromptTokens)
 		if urgent {
@@ -125,13 +122,17 @@
 // limits returns the limits on targets for the queued generation. The caller must hold r.mu.
 func (j *job) limits(now time.Duration) *placer.Limits {
 	if j.terms().Defers(j.route) {
-		return placer.NewDeferrableLimits(j.urgentDemandOf(j.serviceName).Headroom(j.sources.Share(), now), j.isRetry())
+		return placer.NewDeferrableLimits(j.urgentDemandOf(j.serviceName).Headroom(j.sources.Share(), now), j.arrivedLate())
 	}
 	return placer.NewLimits(!j.isLong(), j.shortArrivalsOf(j.serviceName).RecentBefore(j.priority, now))
 }
 
-// isRetry reports whether the caller has sent the request before.
-func (j *job) isRetry() bool { return j.firstArrival() < j.arrived-minRetryAge }
+// arrivedLate reports whether the request could no longer begin within its objective when it
+// arrived: its caller came back after a refusal.
+func (j *job) arrivedLate() bool {
+	objective := j.route.LatencyObjective
+	return objective > 0 && j.arrived > j.firstArrival()+placer.MaxStartDelay(objective, j.request.PromptTokens)
+}
 
 // firstArrival returns when the caller first sent the request. A caller that
 // retries has less time than the route allows, and keeps its place in the queue.
@@ -160,9 +161,9 @@
 func (j *job) maxQueueTime(objective time.Duration) time.Duration {
 	terms := j.terms()
 	switch {
-	case terms.HasDeferrable() && !terms.Defers(j.route):
+	case terms.IsUrgent(j.route):
 		return placer.MaxUrgentQueueTime(objective, j.request.PromptTokens)
-	case terms.HasDeferrable() && j.isRetry():
+	case terms.Defers(j.route) && j.arrivedLate():
 		return placer.MaxLateQueueTime(objective)
 	default:
 		return placer.MaxQueueTime(objective, j.request.PromptTokens)
--- a/terms.go
+++ b/terms.go
@@ -17,14 +17,17 @@
 	// names of the deferrable ones.
 	protected  map[string]time.Duration
 	deferrable map[string]bool
+	// urgent are the names of the routes to which deferrable ones yield.
+	urgent map[string]bool
 }
 
 // newServiceTerms derives the terms of a service from its generating routes.
 func newServiceTerms(routes []*RouteSpec) ServiceTerms {
-	t := ServiceTerms{protected: map[string]time.Duration{}, deferrable: map[string]bool{}}
+	t := ServiceTerms{protected: map[string]time.Duration{}, deferrable: map[string]bool{}, urgent: map[string]bool{}}
 	byPriority := slices.SortedStableFunc(slices.Values(routes), func(a, b *RouteSpec) int { return cmp.Compare(a.Priority, b.Priority) })
 	t.addProtected(byPriority)
 	t.addDeferrable(byPriority)
+	t.addUrgent(byPriority)
 	return t
 }
 
@@ -68,6 +71,21 @@
 	}
 }
 
+// addUrgent adds the routes that have precedence over a deferrable one with a much longer
+// objective than theirs.
+func (t ServiceTerms) addUrgent(byPriority []*RouteSpec) {
+	var longest, inGroup time.Duration // objectives of the routes below r, and also beside it
+	for i, r := range slices.Backward(byPriority) {
+		if i < len(byPriority)-1 && r.Priority < byPriority[i+1].Priority {
+			longest = inGroup
+		}
+		if r.LatencyObjective > 0 && longest >= minTermsRatio*r.LatencyObjective {
+			t.urgent[r.Name] = true
+		}
+		inGroup = max(inGroup, r.LatencyObjective)
+	}
+}
+
 // ProtectsStreams reports whether the service has protected routes.
 func (t ServiceTerms) ProtectsStreams() bool { return len(t.protected) > 0 }
 
@@ -98,5 +116,8 @@
 // have much more time to begin.
 func (t ServiceTerms) Defers(route *RouteSpec) bool { return t.deferrable[route.Name] }
 
+// IsUrgent reports whether the requests of a route are urgent: deferrable ones yield to them.
+func (t ServiceTerms) IsUrgent(route *RouteSpec) bool { return t.urgent[route.Name] }
+
 // Adaptive reports whether the service has terms that need placement to adapt to the targets.
 func (t ServiceTerms) Adaptive() bool { return t.ProtectsStreams() || t.HasDeferrable() }
--- a/terms_test.go
+++ b/terms_test.go
@@ -34,16 +34,17 @@
 		routes                []bluebelldoor.RouteSpec
 		protected, deferrable bool // the route called long
 	}{
-		"none":                       {nil, false, false},
-		"short ones first":           {[]bluebelldoor.RouteSpec{long(1, 1800*time.Millisecond), short(0)}, false, false},
-		"long ones first":            {[]bluebelldoor.RouteSpec{long(0, 1800*time.Millisecond), short(1)}, true, false},
-		"long ones can wait":         {[]bluebelldoor.RouteSpec{long(2, 4*time.Second), short(0)}, false, true},
-		"first, with much time":      {[]bluebelldoor.RouteSpec{long(0, 4*time.Second), short(1)}, true, false},
-		"same priority":              {[]bluebelldoor.RouteSpec{long(1, 4*time.Second), short(1)}, false, false},
-		"alone":                      {[]bluebelldoor.RouteSpec{long(0, 4*time.Second), plain}, false, false},
-		"no share of the service":    {[]bluebelldoor.RouteSpec{unweighted, short(1)}, false, false},
-		"pauses of no concern":       {[]bluebelldoor.RouteSpec{gapless, short(1)}, false, false},
-		"objectives just not double": {[]bluebelldoor.RouteSpec{long(2, 2999*time.Millisecond), short(0)}, false, false},
+		"none":                        {nil, false, false},
+		"short ones first":            {[]bluebelldoor.RouteSpec{long(1, 1800*time.Millisecond), short(0)}, false, false},
+		"long ones first":             {[]bluebelldoor.RouteSpec{long(0, 1800*time.Millisecond), short(1)}, true, false},
+		"long ones can wait":          {[]bluebelldoor.RouteSpec{long(2, 4*time.Second), short(0)}, false, true},
+		"first, with much time":       {[]bluebelldoor.RouteSpec{long(0, 4*time.Second), short(1)}, true, false},
+		"same priority":               {[]bluebelldoor.RouteSpec{long(1, 4*time.Second), short(1)}, false, false},
+		"alone":                       {[]bluebelldoor.RouteSpec{long(0, 4*time.Second), plain}, false, false},
+		"no share of the service":     {[]bluebelldoor.RouteSpec{unweighted, short(1)}, false, false},
+		"pauses of no concern":        {[]bluebelldoor.RouteSpec{gapless, short(1)}, false, false},
+		"one beside a deferrable one": {[]bluebelldoor.RouteSpec{long(2, 4*time.Second), short(0), route("beside", 2, 1500*time.Millisecond, 6*time.Second)}, false, true},
+		"objectives just not double":  {[]bluebelldoor.RouteSpec{long(2, 2999*time.Millisecond), short(0)}, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			terms := bluebelldoor.NewRouting(bluebelldoor.RoutingSpec{Routes: c.routes}).Terms("engines")
@@ -52,6 +53,9 @@
 			assert.Equal(t, terms.ProtectedGap() == gap, c.protected)
 			assert.Equal(t, terms.Defers(&bluebelldoor.RouteSpec{Name: "long"}), c.deferrable)
 			assert.Equal(t, terms.HasDeferrable(), c.deferrable)
+			assert.Equal(t, terms.IsUrgent(&bluebelldoor.RouteSpec{Name: "short"}), c.deferrable)
+			assert.Assert(t, !terms.IsUrgent(&bluebelldoor.RouteSpec{Name: "long"}))
+			assert.Assert(t, !terms.IsUrgent(&bluebelldoor.RouteSpec{Name: "beside"}) && !terms.Defers(&bluebelldoor.RouteSpec{Name: "beside"}))
 			assert.Equal(t, terms.Adaptive(), c.protected || c.deferrable)
 			assert.Assert(t, !terms.Protects(&bluebelldoor.RouteSpec{Name: "short"}) && !terms.Defers(&bluebelldoor.RouteSpec{Name: "short"}))
 		})
