--- a/request/placer/ledger.go
+++ b/request/placer/ledger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bluebelldoor"
+	"bluebelldoor/request/ramper"
 )
 
 const (
@@ -62,6 +63,9 @@
 	stalls map[string]decayingCount
 	// unreachable is when a target last accepted no connection.
 	unreachable map[string]time.Duration
+	ramps       *ramper.Ramper
+	// observedAt is the time of the latest decision.
+	observedAt time.Duration
 }
 
 // NewLedger returns an empty ledger.
@@ -76,6 +80,7 @@
 
 		unreachable: map[string]time.Duration{},
 		stalls:      map[string]decayingCount{},
+		ramps:       ramper.New(),
 	}
 }
 
@@ -237,6 +242,7 @@
 	for target, own := range l.own {
 		out = append(out, bluebelldoor.TargetLoad{Target: target, Requests: own.requests, Tokens: own.tokens, HeldTokens: own.held, PrefillTokens: own.prefill, Streams: own.streams})
 	}
+	out = l.addCredits(out)
 	l.setIntervals(out)
 	return out
 }
@@ -254,6 +260,7 @@
 // updateTotals recalculates the totals of the peers' loads and the VM's own if
 // either has changed.
 func (l *Ledger) updateTotals(now time.Duration) {
+	l.observedAt = now
 	l.peers.removeExpired(now)
 	if !l.peers.updateTotals() && !l.dirty {
 		return
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -95,6 +95,8 @@
 	IsCopy bool
 	// Limits, if set, excludes targets whose load exceeds them.
 	Limits *Limits
+	// SlowStart is how the request treats targets in slow start.
+	SlowStart SlowStart
 }
 
 // Choice is the outcome of Pick.
@@ -113,6 +115,10 @@
 	FailureRate float64
 	// Missing is what the targets lacked if none was chosen for want of room.
 	Missing Room
+	// Window is the window of the chosen candidate if it is in slow start, else 0.
+	// OverWindow reports that its requests had reached it.
+	Window     int
+	OverWindow bool
 }
 
 // Pick chooses the candidate with the lowest cost at now. random returns
@@ -120,9 +126,11 @@
 func (l *Ledger) Pick(candidates []Candidate, d Demand, now time.Duration, random func() float64) Choice {
 	l.updateTotals(now)
 	best := Choice{Index: -1, Cost: math.Inf(1)}
+	windows := l.newWindowCheck(d, now)
 	medianFailures, fast := l.medianFailures(candidates), l.fastInterval(candidates, d)
 	pauses, headroom := l.newPauseModel(candidates, d), l.newHeadroomCheck(candidates, d)
 	for i, c := range candidates {
+		window, atWindow := windows.check(c)
 		if c.Cold && !l.allowsCold(c.Instance.ID, d.MaxColdPerSecond, now) {
 			continue
 		}
@@ -144,18 +152,22 @@
 			cost += unreachableCost
 		}
 		cost += jitter * random()
-		if cost < best.Cost {
+		chosen := &best
+		if atWindow {
+			chosen = &windows.best
+		}
+		if cost < chosen.Cost {
 			total := l.totals[c.Instance.ID]
-			best = Choice{
-				Index: i, Cost: cost, Full: full,
+			*chosen = Choice{
+				Index: i, Cost: cost, Full: full, Window: window, OverWindow: atWindow,
 				Requests: total.requests, Tokens: total.tokens, Held: total.held, Prefill: total.prefill, FailureRate: l.failureRates[c.Instance.ID],
 			}
 			if d.Engine != nil {
-				best.MemoryShare = float64(total.tokens+d.Tokens) / float64(max(1, d.Engine.MemoryTokens))
+				chosen.MemoryShare = float64(total.tokens+d.Tokens) / float64(max(1, d.Engine.MemoryTokens))
 			}
 		}
 	}
-	return best
+	return windows.resolve(best, len(candidates))
 }
 
 // medianFailures returns the median failure rate, which is attributed to the
