--- a/process/recorder/relaymetrics.go
+++ b/process/recorder/relaymetrics.go
@@ -19,6 +19,7 @@
 	answers      *prometheus.CounterVec
 	moves        *prometheus.CounterVec
 	permits      *prometheus.CounterVec
+	slowStart    *prometheus.CounterVec
 }
 
 // NewRelayMetrics returns metrics with their own registry.
@@ -37,8 +38,11 @@
 		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "permits_total", Help: "Requests for permits to send to limited targets, by outcome.",
 		}, []string{"outcome"}),
+		slowStart: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "slow_start_total", Help: "Targets that entered or left slow start, answers by what they say of their target, and requests beyond a window, by event.",
+		}, []string{"event"}),
 	}
-	m.registry.MustRegister(m.requestTime, m.firstEvent, m.capacityWait, m.answers, m.moves, m.permits)
+	m.registry.MustRegister(m.requestTime, m.firstEvent, m.capacityWait, m.answers, m.moves, m.permits, m.slowStart)
 	return m
 }
 
@@ -73,6 +77,9 @@
 // CountPermit counts a request for a permit.
 func (m *RelayMetrics) CountPermit(outcome string) { m.permits.WithLabelValues(outcome).Inc() }
 
+// CountSlowStart counts an event of the slow start of targets.
+func (m *RelayMetrics) CountSlowStart(event string) { m.slowStart.WithLabelValues(event).Inc() }
+
 // Gauges are current values of a VM's state.
 type Gauges struct {
 	RoutingVersion float64
@@ -88,6 +95,8 @@
 	Waiting float64
 	// LimitedTargets counts targets that have named a limit.
 	LimitedTargets float64
+	// SlowStarts counts targets in slow start on this VM.
+	SlowStarts float64
 	// QuarantinedParts counts parts of prompts that are kept away from engines.
 	QuarantinedParts float64
 	// Behind is 1 if a newer routing is known than the one in force, else 0.
@@ -117,6 +126,7 @@
 		"requests":             {"Requests under way on this VM.", func(g Gauges) float64 { return g.Requests }},
 		"waiting":              {"Generations that wait for an engine with room.", func(g Gauges) float64 { return g.Waiting }},
 		"limited_targets":      {"Targets that have named a limit of requests per second.", func(g Gauges) float64 { return g.LimitedTargets }},
+		"slow_start_targets":   {"Targets in slow start on this VM.", func(g Gauges) float64 { return g.SlowStarts }},
 		"quarantined_parts":    {"Parts of prompts that are kept away from engines.", func(g Gauges) float64 { return g.QuarantinedParts }},
 		"behind":               {"1 if a newer routing is known than the one in force.", func(g Gauges) float64 { return g.Behind }},
 		"failed_exchanges":     {"Messages to other VMs that were not answered in time, since the start.", func(g Gauges) float64 { return g.FailedExchanges }},
--- a/process/runner/relaystatus.go
+++ b/process/runner/relaystatus.go
@@ -67,6 +67,7 @@
 		RoutingVersion: float64(s.RoutingVersion), PlatformEra: float64(s.Era), EvidenceAgeSeconds: float64(s.EvidenceAgeMs) / 1000,
 		Members: float64(len(s.Members)), Hubs: float64(len(s.Hubs)), Requests: float64(s.Requests),
 		BufferedBytes: float64(r.memory.Used()), MemoryRefused: float64(r.memory.Refused()),
-		Waiting: float64(s.Waiting), LimitedTargets: float64(s.LimitedTargets), QuarantinedParts: float64(s.QuarantinedParts),
+		SlowStarts: float64(r.relayer.SlowStarts()),
+		Waiting:    float64(s.Waiting), LimitedTargets: float64(s.LimitedTargets), QuarantinedParts: float64(s.QuarantinedParts),
 	}
 }
--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -179,6 +179,8 @@
 	}
 	demand := j.demand()
 	demand.DataCentre, demand.IsCopy, demand.HeldTokens, demand.Limits = source.DataCentre, true, tokens, placer.CopyLimits
+	// The time in which a generation can be moved off a leaving target is short.
+	demand.SlowStart = placer.SlowStart{}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	choice := j.ledger.Pick(candidates[:n], demand, now, rand.Float64)
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -24,6 +24,7 @@
 		d.MixesStreams, d.Protected, d.MaxEventGap = true, terms.Protects(j.route), j.route.MaxEventGap
 		d.Long = d.Long || d.Protected
 	}
+	d.SlowStart = j.slowStart()
 	if j.service.ColdPerSecond > 0 {
 		settings := j.settings.Load()
 		d.MaxColdPerSecond = (j.service.ColdPerSecond*settings.ColdFactor + settings.ColdAllowance) * coldRateMargin * j.sources.Share()
@@ -69,6 +70,7 @@
 	demand := j.demand()
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.observeTargets(now)
 	choice := j.ledger.Pick(candidates, demand, now, rand.Float64)
 	if choice.Index < 0 && choice.Missing == placer.NoConnection {
 		return nil, nil, bluebelldoor.NewRefusal(bluebelldoor.NoTarget, "all targets are at their connection limit").WithRetryAfter(defaultRetryAfter)
@@ -88,6 +90,7 @@
 	for j.ctx.Err() == nil {
 		target, reservation, refusal := j.place()
 		if target == nil || j.acquireInTime(target) {
+			j.sent.SentAt = j.clock.Now()
 			return target, reservation, refusal
 		}
 		j.endReservation(reservation)
@@ -100,6 +103,7 @@
 	if cold {
 		j.ledger.RecordCold(t.ID, now)
 	}
+	j.beginAttempt(t, now)
 	reservation := j.ledger.Start(t.ID, demand.Tokens, j.request.PromptTokens)
 	if demand.Protected {
 		reservation.Protect()
@@ -110,6 +114,10 @@
 // logChoice logs the choice of a target. The caller must hold r.mu, which is
 // safe as logging does not block.
 func (j *job) logChoice(t *registrar.Target, choice placer.Choice, candidates int, now time.Duration) {
+	if choice.OverWindow {
+		j.Metrics.CountSlowStart("overWindow")
+	}
+	j.logSlowStarts()
 	limit, limited := j.Limits.Limit(t.Instance)
 	if !limited {
 		limit = -1
@@ -118,6 +126,7 @@
 		"prompt", j.request.PromptTokens, "expected", j.expectedTokens(),
 		"cost", round3(choice.Cost), "requests", choice.Requests, "tokens", choice.Tokens, "held", choice.Held, "prefill", choice.Prefill,
 		"failures", round3(choice.FailureRate), "coldMs", max(0, t.ColdUntil-now).Milliseconds(), "full", choice.Full, "limit", limit,
+		"window", choice.Window, "overWindow", choice.OverWindow,
 		"waitedMs", (now - j.arrived).Milliseconds(), "waiting", j.queueLength())
 }
 
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -22,6 +22,7 @@
 	"bluebelldoor/process/registrar"
 	"bluebelldoor/process/turner"
 	"bluebelldoor/request/placer"
+	"bluebelldoor/request/ramper"
 )
 
 // defaultBufferedBytes bounds what is kept of all responses if no accountant is given.
@@ -108,6 +109,8 @@
 	urgentDemand map[string]*placer.UrgentDemand
 	// polling reports whether pollForRoom is running.
 	polling bool
+	// observed is the view from which the ledger last learned of the targets.
+	observed *registrar.View
 }
 
 // New returns a relayer.
@@ -163,6 +166,7 @@
 func (r *Relayer) Loads() []bluebelldoor.TargetLoad {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.observeTargets(r.clock.Now())
 	return r.ledger.OwnLoads()
 }
 
@@ -193,6 +197,8 @@
 	unsent        int // attempts in which no byte was sent
 	permitted     limiter.Permit
 	permitTime    time.Duration // spent on requests for permits
+	// sent is the latest attempt. Only the goroutine that sends the request uses it.
+	sent ramper.Attempt
 	// suspect is the result of requestSuspect once suspectOnce is done.
 	suspectOnce sync.Once
 	suspect     string
--- a/request/relayer/resume.go
+++ b/request/relayer/resume.go
@@ -102,6 +102,7 @@
 	s.mu.Lock()
 	s.target = t
 	s.mu.Unlock()
+	j.sent = copyAttempt(t, j.clock.Now())
 	j.Metrics.CountMoveStep("resumed")
 	j.log.Info("stream moved", "id", j.request.ID, "target", t.ID, "after", s.events.lastID)
 	if !j.sources.View().AcceptsNewWork(t.Instance) && s.resumesOnLeaving < maxResumesOnLeaving {
@@ -157,6 +158,7 @@
 			err = errors.Errorf("status %d", response.HTTPResponse().StatusCode)
 			response.Close()
 		}
+		j.recordFailedRerun(err)
 		j.log.Warn("stream not resumed", "id", j.request.ID, "target", t.ID, "after", after, "why", err.Error())
 		j.endReservation(reservation)
 		j.maybeExecuted++
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -207,6 +207,7 @@
 			if s.forwarded == 0 {
 				s.job.recordCrash(s.target)
 			}
+			s.recordBreak()
 			return err
 		}
 	}
@@ -300,6 +301,7 @@
 	if err := s.job.call.Write(complete); err != nil {
 		return err
 	}
+	resumed := s.resumed
 	s.recordTiming()
 	first, due := s.forwarded == 0, s.forwarded/reservationUpdateEvents != s.events.count/reservationUpdateEvents
 	s.job.traffic.add(s.events.count-s.forwarded, len(complete))
@@ -311,6 +313,9 @@
 	if reservation != nil && due {
 		s.job.updateReservation(s, reservation)
 	}
+	if first || resumed {
+		s.job.recordAnswer()
+	}
 	if first {
 		s.job.recordSound()
 		s.job.recordPromptRead(reservation)
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -63,6 +63,9 @@
 	}
 	j.maybeExecuted++
 	status := response.HTTPResponse().StatusCode
+	if status >= http.StatusInternalServerError {
+		j.recordTrouble("status")
+	}
 	if status >= http.StatusInternalServerError && j.mayRetry() {
 		j.recordOutcome(t, true)
 		j.prepareRetry(t, "target failed", "status", status)
@@ -89,6 +92,7 @@
 		var sendErr *bluebelldoor.SendError
 		if errors.As(err, &sendErr) && sendErr.Executed != bluebelldoor.ExecutedNo {
 			j.maybeExecuted++
+			j.recordUnanswered()
 		}
 		return false
 	}
@@ -97,6 +101,7 @@
 		return j.handleUnsent(t, err)
 	}
 	j.recordOutcome(t, true)
+	j.recordTrouble("connection")
 	if sendErr.Executed == bluebelldoor.ExecutedNo {
 		j.mu.Lock()
 		j.ledger.RecordUnreachable(t.ID, j.clock.Now())
@@ -160,6 +165,9 @@
 func (j *job) handleNotExecuted(t *registrar.Target, response *exchanger.Response) bool {
 	j.notExecuted++
 	status := response.HTTPResponse().StatusCode
+	if status == http.StatusServiceUnavailable {
+		j.recordTrouble("refusal")
+	}
 	if _, err := io.CopyN(io.Discard, response, maxBufferedBytes); err != nil && !errors.Is(err, io.EOF) {
 		j.log.Debug("refusal body not fully read", "id", j.request.ID, "target", t.ID, "error", err)
 	}
@@ -189,6 +197,7 @@
 	case err == nil:
 		if response.HTTPResponse().StatusCode < http.StatusBadRequest {
 			j.recordSound()
+			j.recordAnswer()
 		}
 		j.respond(t, response.HTTPResponse(), body)
 		return true
@@ -196,9 +205,11 @@
 		j.forwardLarge(t, response, body)
 		return true
 	case j.ctx.Err() != nil:
+		j.recordUnanswered()
 		return false
 	}
 	j.recordOutcome(t, true)
+	j.recordTrouble("connection")
 	if len(body) == 0 {
 		j.recordCrash(t)
 	}
--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -229,12 +229,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
+	r.observeTargets(now)
 	for name, queue := range r.queues {
 		if r.draining.Load() {
 			refuseStreams(queue, now)
 		}
+		overflow := queue.Overflow(now)
 		queue.Dispatch(now, func(w *waiter) placer.Room {
-			w.lacks = w.place(now)
+			w.lacks = w.place(now, overflow)
 			return w.lacks
 		})
 		for _, w := range queue.RemoveExpired(now) {
@@ -267,7 +269,7 @@
 
 // place sends the generation a target that has room for it, or a refusal. It
 // returns what the targets lack if the generation has to wait on.
-func (w *waiter) place(now time.Duration) placer.Room {
+func (w *waiter) place(now time.Duration, overflow placer.Overflow) placer.Room {
 	j := w.job
 	if refusal := j.checkSuspects(); refusal != nil {
 		w.refuse(refusal)
@@ -282,7 +284,7 @@
 		return placer.HasRoom
 	}
 	demand := j.demand()
-	demand.Limits = j.limits(now)
+	demand.Limits, demand.SlowStart.Overflow = j.limits(now), overflow
 	choice := j.ledger.Pick(candidates, demand, now, rand.Float64)
 	if choice.Index < 0 {
 		return max(choice.Missing, placer.NoPrefillCapacity)
--- a/routing.go
+++ b/routing.go
@@ -179,6 +179,17 @@
 // Terms returns what the generating routes of a service ask of placement.
 func (r *Routing) Terms(service string) ServiceTerms { return r.terms[service] }
 
+// AdaptiveServices returns the names of the services whose terms are adaptive.
+func (r *Routing) AdaptiveServices() []string {
+	var out []string
+	for name, terms := range r.terms {
+		if terms.Adaptive() {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Account returns the client account that holds an API key, nil if none does.
 func (r *Routing) Account(key string) *AccountKeys { return r.byKey[key] }
 
