--- a/request/placer/slowstart_test.go
+++ b/request/placer/slowstart_test.go
@@ -294,3 +294,52 @@
 	reservation.End()
 	assert.Equal(t, window("the end"), rampBase+1)
 }
+
+// TestOverflow guards against callers who are refused because of slow start alone, and
+// against a new target that gets all for which the others have no room.
+func TestOverflow(t *testing.T) {
+	queued := func(arrived, expires time.Duration) placer.Overflow {
+		q := placer.Queue[int]{}
+		q.Add(&placer.QueueItem[int]{OrderTime: 990 * time.Millisecond, ExpiresAt: time.Minute})
+		q.Add(&placer.QueueItem[int]{OrderTime: arrived, ExpiresAt: expires, Priority: 9})
+		return q.Overflow(time.Second)
+	}
+	for name, c := range map[string]struct {
+		targets, atWindow int // those that are not at their window are full
+		overflow          placer.Overflow
+		placed            bool
+	}{
+		"queued, all at their window":          {4, 4, queued(950*time.Millisecond, time.Minute), false},
+		"one has waited":                       {4, 4, queued(800*time.Millisecond, time.Minute), true},
+		"one is about to expire":               {4, 4, queued(950*time.Millisecond, 1020*time.Millisecond), true},
+		"one has waited, most at their window": {4, 3, queued(0, time.Minute), true},
+		"one has waited, one at its window":    {4, 1, queued(0, time.Minute), false},
+		"can't queue, one at its window":       {4, 1, placer.OverflowAlways, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := placer.NewLedger()
+			var candidates []placer.Candidate
+			var targets []ramper.Target
+			for i := range c.targets {
+				e := &bluebelldoor.Instance{ID: fmt.Sprint(i), Slots: rampSlots}
+				candidates = append(candidates, placer.Candidate{Instance: e})
+				targets = append(targets, ramper.Target{TargetIncarnation: e.Incarnation(), Slots: rampSlots, Cold: i < c.atWindow})
+				requests := rampSlots
+				if i < c.atWindow {
+					requests = rampBase
+				}
+				for range requests {
+					l.Start(e.ID, 10, 10)
+				}
+			}
+			l.ObserveTargets(map[string][]ramper.Target{"s": targets}, 1, 0)
+			choice := l.Pick(candidates, placer.Demand{
+				Engine: &bluebelldoor.EngineKind{MemoryTokens: memoryTokens}, MaxColdPerSecond: -1, Limits: placer.NewLimits(true, false),
+				SlowStart: placer.SlowStart{InForce: true, VMShare: 1, Overflow: c.overflow},
+			}, time.Second, func() float64 { return 0 })
+			assert.Equal(t, choice.Index >= 0, c.placed)
+			assert.Equal(t, choice.OverWindow, c.placed)
+			assert.Equal(t, choice.Missing != placer.HasRoom, !c.placed)
+		})
+	}
+}
--- a/request/ramper/ramper_test.go
+++ b/request/ramper/ramper_test.go
@@ -93,6 +93,7 @@
 		"trouble of this VM alone":         {func(v *vm) { v.answers(30, expected); v.peerCredit = 30; v.errors(9) }, 0, 0},
 		"half speed":                       {func(v *vm) { v.othersAnswer(expected); v.answers(5, 2*expected) }, base + 5, 1 + 5},
 		"much slower than others":          {func(v *vm) { v.othersAnswer(expected); v.answers(8, expected); v.answers(1, 10*expected) }, base + 4, 1 + 4},
+		"slower than others":               {func(v *vm) { v.othersAnswer(expected); v.answers(8, expected); v.answers(2, 4*expected) }, base + 8, 1 + 8},
 		"as slow as all":                   {func(v *vm) { v.othersAnswer(10 * expected); v.answers(8, 10*expected) }, base + 8, 1 + 8},
 		"slow, nothing to compare with":    {func(v *vm) { v.answers(8, expected); v.answers(5, 10*expected) }, base + 8, 1 + 8},
 		"answer of an earlier incarnation": {func(v *vm) { v.answers(8, expected); v.renew(); v.observe(false); v.started--; v.answers(8, expected) }, base, 1},
