--- a/request/relayer/slowstart.go
+++ b/request/relayer/slowstart.go
@@ -115,14 +115,17 @@
 	}
 }
 
-// recordVerdict records an event of the latest attempt and counts its verdict.
+// recordVerdict records an event of the latest attempt and counts its verdict. A target that
+// has just announced that it is leaving is no longer judged.
 func (j *job) recordVerdict(record func(now time.Duration) ramper.Verdict) {
 	if !j.terms().Adaptive() {
 		return
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if verdict := record(j.clock.Now()); verdict != ramper.VerdictNone {
+	now := j.clock.Now()
+	j.observeTargets(now)
+	if verdict := record(now); verdict != ramper.VerdictNone {
 		j.Metrics.CountSlowStart(string(verdict))
 	}
 	j.logSlowStarts()
