--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -192,6 +192,8 @@
 		}
 	}
 	demand := j.copyDemand(source, tokens)
+	// The time in which a generation can be moved off a leaving target is short.
+	demand.SlowStart = placer.SlowStart{}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	choice := j.ledger.Pick(candidates[:n], demand, now, rand.Float64)
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -244,6 +244,7 @@
 			if s.forwarded == 0 {
 				s.job.recordCrash(s.target)
 			}
+			s.recordBreak()
 			return err
 		}
 	}
@@ -337,6 +338,7 @@
 	if err := s.job.call.Write(complete); err != nil {
 		return err
 	}
+	resumed := s.resumed
 	s.recordTiming()
 	first, due := s.forwarded == 0, s.isSampleDue()
 	s.job.traffic.add(s.events.count-s.forwarded, len(complete))
@@ -348,6 +350,9 @@
 	if reservation != nil && due {
 		s.job.updateReservation(s, reservation)
 	}
+	if first || resumed {
+		s.job.recordAnswer()
+	}
 	if first {
 		s.job.recordSound()
 		s.job.recordPromptRead(reservation)
