--- a/fleet.go
+++ b/fleet.go
@@ -202,6 +202,16 @@
 	// parts of prompts, 0 if there are none. Crashes are those that the receiver may lack.
 	CrashDigest uint64        `cbor:"crashDigest,omitempty"`
 	Crashes     []PromptCrash `cbor:"crashes,omitempty"`
+	// AccountUse is what client accounts have used lately at the sender, of those for which
+	// that has grown.
+	AccountUse []AccountUse `cbor:"accountUse,omitempty"`
+}
+
+// AccountUse is what a client account has used lately at one VM.
+type AccountUse struct {
+	Account string `cbor:"account"`
+	// Tokens is the number of prompt tokens read and tokens made. It halves every 20 s.
+	Tokens int64 `cbor:"tokens"`
 }
 
 // PromptCrash is the crash of an engine between the begin of an answer and its first event.
