--- a/request/placer/line.go
+++ b/request/placer/line.go
@@ -21,6 +21,11 @@
 	ExpiresAt time.Duration
 	// Long marks a generation that will hold its memory for seconds.
 	Long bool
+	// Account is the client account, by which the order depends on the queue's Shares.
+	Account string
+	// Early marks a generation whose caller returned earlier than it was told. It is served
+	// after all others.
+	Early bool
 }
 
 func (w *QueueItem[T]) late(now time.Duration) bool { return now > w.StartBy }
@@ -32,7 +37,8 @@
 // backlog last. ExpiresAt bounds how long a late one can be overtaken. It is not
 // safe for concurrent use.
 type Queue[T any] struct {
-	items []*QueueItem[T]
+	items  []*QueueItem[T]
+	shares accountOrder[T]
 }
 
 // Add appends a generation.
@@ -71,15 +77,16 @@
 // soon, all wait.
 func (q *Queue[T]) Dispatch(now time.Duration, place func(T) Room) {
 	longBlocked := false
-	for _, w := range q.Order(now) {
+	for w, ahead := range q.inOrder(now) {
 		if longBlocked && w.Long {
 			continue
 		}
 		switch place(w.Value) {
 		case HasRoom:
 			q.Remove(w)
+			q.recordPlaced(w, ahead, now)
 		case NoMemory:
-			longBlocked = longBlocked || w.Long
+			longBlocked = longBlocked || w.Long && !ahead
 		case NoPrefillCapacity, NoConnection:
 			return
 		}
@@ -89,8 +96,9 @@
 // Order returns the waiting generations, the next to be served first.
 func (q *Queue[T]) Order(now time.Duration) []*QueueItem[T] {
 	order := slices.Clone(q.items)
+	byUse := q.shares.comparison(order, now)
 	slices.SortStableFunc(order, func(a, b *QueueItem[T]) int {
-		return cmp.Or(compareTrueFirst(!a.late(now), !b.late(now)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.OrderTime, b.OrderTime))
+		return cmp.Or(compareTrueFirst(!a.Early, !b.Early), compareTrueFirst(!a.late(now), !b.late(now)), cmp.Compare(a.Priority, b.Priority), byUse(a, b), cmp.Compare(a.OrderTime, b.OrderTime))
 	})
 	return order
 }
