--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -36,6 +36,7 @@
 	g.merge(reply)
 	g.hooks.ApplyLimits(reply.From, reply.Limits)
 	g.hooks.ApplyCrashes(reply.From, reply.Crashes)
+	g.hooks.ApplyUse(reply.From, reply.AccountUse)
 	g.hooks.ApplyDelta(ctx, reply.Delta, sentAt, true)
 	return reply.Delta.More
 }
@@ -61,6 +62,9 @@
 		// Standbys place next to nothing, so they need no loads.
 		delta := g.loads.since(g.table.LoadsAcked(peer))
 		out.Loads = &delta
+		if peer != "" {
+			out.AccountUse = g.hooks.AccountUse(peer)
+		}
 	}
 	return out
 }
@@ -108,6 +112,7 @@
 	g.merge(in)
 	g.hooks.ApplyLimits(in.From, in.Limits)
 	g.hooks.ApplyCrashes(in.From, in.Crashes)
+	g.hooks.ApplyUse(in.From, in.AccountUse)
 	g.hooks.ApplyDelta(ctx, in.Delta, 0, false)
 	g.mu.Lock()
 	out := g.buildMessage(in.From, g.replyMembers(in.From, known))
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -81,6 +81,11 @@
 	// Crashes and ApplyCrashes are the same for crashes that accuse parts of prompts.
 	Crashes      func(digest uint64) (uint64, []bluebelldoor.PromptCrash)
 	ApplyCrashes func(peer string, crashes []bluebelldoor.PromptCrash)
+	// AccountUse returns what the next message tells a peer of the use of client accounts, and
+	// ApplyAccountUse processes what a peer has sent. They must not call the gossiper. If they
+	// are nil, it is not exchanged.
+	AccountUse func(peer string) []bluebelldoor.AccountUse
+	ApplyUse   func(peer string, use []bluebelldoor.AccountUse)
 }
 
 // Gossiper maintains one VM's view of the membership. It is safe for concurrent use.
@@ -139,6 +144,10 @@
 		hooks.Crashes = func(uint64) (uint64, []bluebelldoor.PromptCrash) { return 0, nil }
 		hooks.ApplyCrashes = func(string, []bluebelldoor.PromptCrash) {}
 	}
+	if hooks.AccountUse == nil {
+		hooks.AccountUse = func(string) []bluebelldoor.AccountUse { return nil }
+		hooks.ApplyUse = func(string, []bluebelldoor.AccountUse) {}
+	}
 	g := &Gossiper{
 		clock:       clock,
 		started:     clock.Now(),
--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -30,6 +30,8 @@
 	vms         map[string]*gossiper.Gossiper
 	partitioned map[string]bool
 	bytes       map[string]int
+	// useBytes are those that tell the use of accounts.
+	useBytes map[string]int
 	// exchanges counts those between two VMs, in either direction, and lastExchange is
 	// when the newest was; longestGap is the longest time without one.
 	exchanges map[[2]string]int
@@ -109,6 +111,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.bytes[name] += len(data)
+	if len(message.AccountUse) > 0 {
+		without := *message
+		without.AccountUse = nil
+		rest, err := cbor.Marshal(&without)
+		if err != nil {
+			panic(err)
+		}
+		f.useBytes[name] += len(data) - len(rest)
+	}
 	if len(message.Members) > 1 {
 		f.multiMember[name]++
 	}
@@ -177,7 +188,7 @@
 
 func newNetwork() *network {
 	return &network{
-		vms: map[string]*gossiper.Gossiper{}, partitioned: map[string]bool{}, bytes: map[string]int{},
+		vms: map[string]*gossiper.Gossiper{}, partitioned: map[string]bool{}, bytes: map[string]int{}, useBytes: map[string]int{},
 		log: hclog.NewNullLogger(), exchanges: map[[2]string]int{}, multiMember: map[string]int{}, lastExchange: map[[2]string]time.Time{},
 		calls: map[string]int{}, rates: map[string]callRate{},
 	}
