--- a/process/recorder/relaymetrics.go
+++ b/process/recorder/relaymetrics.go
@@ -10,7 +10,7 @@
 )
 
 // RelayMetrics are the counters and histograms of relayed requests. Label
-// values are limited to priorities, result codes and move outcomes.
+// values are limited to priorities, result codes, move outcomes and reasons of refusals.
 type RelayMetrics struct {
 	registry     *prometheus.Registry
 	requestTime  *prometheus.HistogramVec
@@ -19,6 +19,7 @@
 	answers      *prometheus.CounterVec
 	moves        *prometheus.CounterVec
 	permits      *prometheus.CounterVec
+	crowded      *prometheus.CounterVec
 }
 
 // NewRelayMetrics returns metrics with their own registry.
@@ -38,6 +39,10 @@
 			Namespace: namespace, Name: "permits_total", Help: "Requests for permits to send to limited targets, by outcome.",
 		}, []string{"outcome"}),
 	}
+	m.crowded = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "crowded_total", Help: "Refusals for lack of room, by reason.",
+	}, []string{"reason"})
+	m.registry.MustRegister(m.crowded)
 	m.registry.MustRegister(m.requestTime, m.firstEvent, m.capacityWait, m.answers, m.moves, m.permits)
 	return m
 }
@@ -73,6 +78,9 @@
 // CountPermit counts a request for a permit.
 func (m *RelayMetrics) CountPermit(outcome string) { m.permits.WithLabelValues(outcome).Inc() }
 
+// CountCrowded counts a refusal for lack of room.
+func (m *RelayMetrics) CountCrowded(reason string) { m.crowded.WithLabelValues(reason).Inc() }
+
 // Gauges are current values of a VM's state.
 type Gauges struct {
 	RoutingVersion float64
@@ -100,6 +108,12 @@
 	BufferedBytes float64
 	// MemoryRefused counts bodies and events for which there was no memory.
 	MemoryRefused float64
+	// Accounts counts client accounts with recent use where room is shared by account, and
+	// LargestAccountShare is the share of that use that the largest has.
+	Accounts, LargestAccountShare float64
+	// OvertakenServed counts generations that came first because their account had been
+	// overtaken for too long.
+	OvertakenServed float64
 }
 
 // RegisterGauges registers the gauges and the counter of dropped log lines; read and
@@ -124,6 +138,9 @@
 		"value_bytes_received": {"Bytes of large values received from other VMs, since the start.", func(g Gauges) float64 { return g.ValueBytesReceived }},
 		"buffered_bytes":       {"Bytes of bodies and events that wait until they are complete.", func(g Gauges) float64 { return g.BufferedBytes }},
 		"memory_refused":       {"Bodies and events for which there was no memory, since the start.", func(g Gauges) float64 { return g.MemoryRefused }},
+		"accounts":             {"Client accounts with recent use, where room is shared by account.", func(g Gauges) float64 { return g.Accounts }},
+		"account_use_largest":  {"Share of that use that the largest client account has.", func(g Gauges) float64 { return g.LargestAccountShare }},
+		"overtaken_served":     {"Generations that came first because their account had been overtaken for too long, since the start.", func(g Gauges) float64 { return g.OvertakenServed }},
 	} {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: g.help}, func() float64 { return g.value(read()) }))
 	}
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -114,6 +114,8 @@
 		ApplyLimits:    func(peer string, limits []bluebelldoor.TargetLimit) { r.limiter.Merge(peer, limits) },
 		Crashes:        func(digest uint64) (uint64, []bluebelldoor.PromptCrash) { return r.parts.Crashes(digest) },
 		ApplyCrashes:   func(peer string, crashes []bluebelldoor.PromptCrash) { r.parts.Merge(peer, crashes) },
+		AccountUse:     func(peer string) []bluebelldoor.AccountUse { return r.relayer.AccountUse(peer) },
+		ApplyUse:       func(peer string, use []bluebelldoor.AccountUse) { r.relayer.ApplyAccountUse(peer, use) },
 	}, log.Named("gossiper"))
 	r.parts = quarantiner.New(adapters.Clock, r.gossiper.Trigger, log.Named("quarantiner"))
 	r.turner = turner.New(settings.Name, peers, r.turnGrantors, log.Named("turner"))
--- a/process/runner/relaystatus.go
+++ b/process/runner/relaystatus.go
@@ -61,7 +61,9 @@
 	if s.Behind {
 		behind = 1
 	}
+	shares := r.relayer.AccountShares()
 	return recorder.Gauges{
+		Accounts: float64(shares.Accounts), LargestAccountShare: shares.LargestShare, OvertakenServed: float64(shares.OvertakenServed),
 		Behind: behind, FailedExchanges: float64(r.gossiper.FailedExchanges()),
 		ValueBytesSent: float64(r.values.Sent()), ValueBytesReceived: float64(r.values.Received()),
 		RoutingVersion: float64(s.RoutingVersion), PlatformEra: float64(s.Era), EvidenceAgeSeconds: float64(s.EvidenceAgeMs) / 1000,
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -106,6 +106,7 @@
 	shortArrivals map[string]*placer.ShortArrivals
 	// urgentDemand tracks, by service, the latest urgent generations beside deferrable ones.
 	urgentDemand map[string]*placer.UrgentDemand
+	sharing      sharing
 	// polling reports whether pollForRoom is running.
 	polling bool
 }
@@ -128,6 +129,7 @@
 		queues:        map[string]*placer.Queue[*waiter]{},
 		shortArrivals: map[string]*placer.ShortArrivals{},
 		urgentDemand:  map[string]*placer.UrgentDemand{},
+		sharing:       newSharing(),
 	}
 	r.settings.Store(&settings)
 	r.ending, r.end = context.WithCancel(context.Background())
@@ -196,6 +198,8 @@
 	// suspect is the result of requestSuspect once suspectOnce is done.
 	suspectOnce sync.Once
 	suspect     string
+	// crowdedFields are the log fields of a refusal for lack of room.
+	crowdedFields []any
 }
 
 // Serve handles a caller's request up to its final response.
@@ -244,7 +248,7 @@
 	if j.maybeExecuted > 0 && refusal.Executed() == bluebelldoor.ExecutedNo {
 		refusal = bluebelldoor.NewRefusal(bluebelldoor.OutcomeUnknown, refusal.Detail()).WithExecuted(bluebelldoor.ExecutedUnknown)
 	}
-	j.logOutcome("refused", refusal.Code(), refusal.Detail())
+	j.logOutcome("refused", refusal.Code(), refusal.Detail(), j.crowdedFields...)
 	if j.call.Begun() {
 		j.call.Abort()
 		return
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -57,6 +57,8 @@
 	resumesOnLeaving int
 	// resumed reports whether the next event is the first after a move.
 	resumed bool
+	// shared is how many tokens were recorded as used by the account.
+	shared int
 }
 
 // move is a last copy in progress. The engine ends the stream, which then
@@ -100,6 +102,7 @@
 	j.mu.Lock()
 	reservation.UpdateMemory(j.request.PromptTokens+expected, j.request.PromptTokens+generated)
 	j.ledger.RecordIntervals(s.target.ID, s.intervals)
+	j.recordMade(s)
 	j.mu.Unlock()
 	s.intervals = s.intervals[:0]
 }
@@ -159,6 +162,7 @@
 		j.endReservation(m.reservation)
 	}
 	j.mu.Lock()
+	j.recordMade(s)
 	delete(j.streams, s)
 	j.mu.Unlock()
 }
--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -35,6 +34,8 @@
 	placed chan placement
 	// lacks is what the targets lacked at the last attempt to place it.
 	lacks placer.Room
+	// early is by how much the caller returned earlier than it was told.
+	early time.Duration
 }
 
 // mustQueue reports whether the request has to queue: a generation that has not
@@ -55,6 +56,7 @@
 		return p.target, p.reservation, p.refusal
 	default:
 	}
+	j.refuseAtOnce(w)
 	j.startPolling()
 	select {
 	case p := <-w.Value.placed:
@@ -97,6 +99,7 @@
 		j.queues[j.serviceName] = queue
 	}
 	queue.Add(w)
+	j.share(queue, w)
 	return w
 }
 
@@ -179,6 +182,9 @@
 	j.mu.Lock()
 	queue := j.queues[j.serviceName]
 	removed := queue != nil && queue.Remove(w)
+	if removed {
+		j.observeQueue(j.serviceName, queue, false, j.clock.Now())
+	}
 	j.mu.Unlock()
 	if !removed {
 		p := <-w.Value.placed
@@ -237,9 +243,11 @@
 			w.lacks = w.place(now)
 			return w.lacks
 		})
+		r.observeQueue(name, queue, true, now)
 		for _, w := range queue.RemoveExpired(now) {
-			w.Value.refuse(w.Value.refusalCrowded(queue.Len()))
+			w.Value.refuse(w.Value.refusalCrowded(queue.Len(), waitedInVain))
 		}
+		r.observeQueue(name, queue, false, now)
 		if queue.Len() == 0 {
 			delete(r.queues, name)
 		}
@@ -256,13 +264,6 @@
 	}
 }
 
-// refusalCrowded returns the refusal for a generation that no engine had room for
-// in time.
-func (w *waiter) refusalCrowded(others int) *bluebelldoor.Refusal {
-	detail := fmt.Sprintf("no engine had room in time, the best one lacks %s; %d other requests queued", w.lacks, others)
-	return bluebelldoor.NewRefusal(bluebelldoor.EnginesCrowded, detail).WithRetryAfter(w.job.crowdedRetryAfter())
-}
-
 func (w *waiter) refuse(refusal *bluebelldoor.Refusal) { w.placed <- placement{refusal: refusal} }
 
 // place sends the generation a target that has room for it, or a refusal. It
@@ -289,12 +290,7 @@
 	}
 	target := targets[choice.Index]
 	w.placed <- placement{target: target, reservation: j.reserve(target, candidates[choice.Index].Cold, demand, now)}
+	j.recordPlaced(now)
 	j.logChoice(target, choice, len(targets), now)
 	return placer.HasRoom
 }
-
-// crowdedRetryAfter returns after what time a caller that was refused for lack of
-// room may retry.
-func (j *job) crowdedRetryAfter() time.Duration {
-	return placer.RetryDelay(j.remaining(), j.route.LatencyObjective, rand.Float64)
-}
