--- a/request/sharer/report.go
+++ b/request/sharer/report.go
@@ -71,12 +71,15 @@
 }
 
 // Apply applies a peer's report of what accounts have used there. Each value replaces the one
-// reported before. Invalid ones are ignored.
+// reported before, and shows that the account was served there. Invalid ones are ignored.
 func (s *Sharer) Apply(peer string, report []bluebelldoor.AccountUse, now time.Duration) {
 	for _, use := range report {
 		if use.Tokens < 0 || use.Tokens > maxTokens || len(use.Account) > maxNameBytes {
 			continue
 		}
+		if a := s.accounts[use.Account]; a != nil {
+			a.overtaken = false
+		}
 		uses := s.peers[peer]
 		if uses == nil {
 			uses = map[string]decaying{}
--- a/request/sharer/sharer.go
+++ b/request/sharer/sharer.go
@@ -14,8 +14,8 @@
 	// defaultReportTTL is the age at which what a peer has reported of an account expires. By
 	// then an eighth of it would count.
 	defaultReportTTL = 3 * defaultHalfLife
-	// defaultMaxOvertaken is for how long an account can be overtaken before one of its
-	// requests comes first.
+	// defaultMaxOvertaken is for how long an account can be overtaken on this VM, and not be
+	// served on any, before one of its requests comes first. Peers report within seconds.
 	defaultMaxOvertaken = 5 * time.Second
 	// defaultAheadInterval is the number of placements of which at most one comes first for
 	// that reason. Otherwise such requests would set the order in a long overload.
@@ -44,7 +44,8 @@
 type account struct {
 	used decaying
 	// overtaken is set if a later request of another account was placed first since the
-	// account was last served: first at overtakenSince, last at overtakenAt.
+	// account was last served, here or, by what peers report, there: first at overtakenSince,
+	// last at overtakenAt.
 	overtaken                   bool
 	overtakenSince, overtakenAt time.Duration
 }
