--- a/request/sharer/report.go
+++ b/request/sharer/report.go
@@ -40,29 +40,26 @@
 	if told != nil && now-told.at < interval {
 		return nil
 	}
+	if told == nil {
+		maps.DeleteFunc(s.told, func(_ string, t *telling) bool { return now-t.at > s.reportTTL })
+		told = &telling{used: map[string]decaying{}}
+		s.told[peer] = told
+	}
+	told.at = now
 	var out []bluebelldoor.AccountUse
 	for name, a := range s.accounts {
 		used := a.used.valueAt(now, s.halfLife)
 		if used < 1 || len(name) > maxNameBytes {
 			continue
 		}
-		if told == nil || used > told.used[name].valueAt(now, s.halfLife)*(1+minGrowth) {
+		if used > told.used[name].valueAt(now, s.halfLife)*(1+minGrowth) {
 			out = append(out, bluebelldoor.AccountUse{Account: name, Tokens: int64(used)})
 		}
 	}
-	if len(out) == 0 {
-		return nil
-	}
 	slices.SortFunc(out, func(a, b bluebelldoor.AccountUse) int {
 		return cmp.Or(cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(a.Account, b.Account))
 	})
 	out = out[:min(len(out), maxReported)]
-	if told == nil {
-		maps.DeleteFunc(s.told, func(_ string, t *telling) bool { return now-t.at > s.reportTTL })
-		told = &telling{used: map[string]decaying{}}
-		s.told[peer] = told
-	}
-	told.at = now
 	maps.DeleteFunc(told.used, func(name string, _ decaying) bool { return s.accounts[name] == nil })
 	for _, use := range out {
 		told.used[use.Account] = decaying{now, float64(use.Tokens)}
--- a/request/sharer/simulation_test.go
+++ b/request/sharer/simulation_test.go
@@ -37,6 +37,7 @@
 	shares  *sharer.Sharer
 	queue   placer.Queue[*generation]
 	returns placer.Returns
+	early   []*placer.QueueItem[*generation] // since the last step
 	startAt time.Duration
 }
 
@@ -109,9 +110,12 @@
 			d.enqueue(d.vms[a.vm], a.g, now)
 		}
 		first := d.random.IntN(len(d.vms))
-		for i := range d.vms {
+		for i := 0; i < len(d.vms) && d.hasRoom(now); i++ {
 			d.dispatch(d.vms[(first+i)%len(d.vms)], now)
 		}
+		for _, v := range d.vms {
+			d.refuseExpired(v, now)
+		}
 		if !d.silent && now%reportsAt == 0 {
 			d.report(now)
 		}
@@ -127,14 +131,21 @@
 		v.queue.SetShares(v.shares)
 	}
 	early := v.returns.Early(g.key(), g.firstSent, now) > 0
-	v.queue.Add(&placer.QueueItem[*generation]{
+	w := &placer.QueueItem[*generation]{
 		Value: g, Account: g.account, OrderTime: g.firstSent, StartBy: g.firstSent + objective, ExpiresAt: now + objective, Early: early,
-	})
+	}
+	v.queue.Add(w)
+	if early {
+		v.early = append(v.early, w)
+	}
 }
 
+// hasRoom reports whether the targets can take another generation.
+func (d *deployment) hasRoom(now time.Duration) bool { return d.freeAt <= now+step }
+
 func (d *deployment) dispatch(v *vm, now time.Duration) {
 	v.queue.Dispatch(now, func(g *generation) placer.Room {
-		if d.freeAt > now+step {
+		if !d.hasRoom(now) {
 			return placer.NoPrefillCapacity
 		}
 		d.freeAt = max(d.freeAt, now) + time.Duration(g.tokens)*time.Second/capacity
@@ -149,14 +160,17 @@
 		}
 		return placer.HasRoom
 	})
-	if d.impatient {
-		for _, w := range v.queue.Order(now) {
-			if w.Early {
-				v.queue.Remove(w)
-				d.refuse(v, w.Value, now)
-			}
+}
+
+// refuseExpired refuses those that have waited for too long, and those that returned early and
+// got no room at once.
+func (d *deployment) refuseExpired(v *vm, now time.Duration) {
+	for _, w := range v.early {
+		if v.queue.Remove(w) {
+			d.refuse(v, w.Value, now)
 		}
 	}
+	v.early = nil
 	for _, w := range v.queue.RemoveExpired(now) {
 		d.refuse(v, w.Value, now)
 	}
