--- a/process/recorder/relaymetrics.go
+++ b/process/recorder/relaymetrics.go
@@ -11,6 +11,7 @@
 
 // RelayMetrics are the counters and histograms of relayed requests. Label
 // values are limited to priorities, result codes, outcomes and steps.
+// values are limited to priorities, result codes, move outcomes and reasons of refusals.
 type RelayMetrics struct {
 	registry     *prometheus.Registry
 	requestTime  *prometheus.HistogramVec
@@ -21,6 +22,7 @@
 	permits      *prometheus.CounterVec
 	protected    *prometheus.CounterVec
 	slowStart    *prometheus.CounterVec
+	crowded      *prometheus.CounterVec
 }
 
 // NewRelayMetrics returns metrics with their own registry.
@@ -46,7 +48,10 @@
 			Namespace: namespace, Name: "slow_start_total", Help: "Targets that entered or left slow start, answers by what they say of their target, and requests beyond a window, by event.",
 		}, []string{"event"}),
 	}
-	m.registry.MustRegister(m.requestTime, m.firstEvent, m.capacityWait, m.answers, m.moves, m.permits, m.protected, m.slowStart)
+	m.crowded = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "crowded_total", Help: "Refusals for lack of room, by reason.",
+	}, []string{"reason"})
+	m.registry.MustRegister(m.requestTime, m.firstEvent, m.capacityWait, m.answers, m.moves, m.permits, m.protected, m.slowStart, m.crowded)
 	return m
 }
 
@@ -94,6 +99,9 @@
 // CountSlowStart counts an event of the slow start of targets.
 func (m *RelayMetrics) CountSlowStart(event string) { m.slowStart.WithLabelValues(event).Inc() }
 
+// CountCrowded counts a refusal for lack of room.
+func (m *RelayMetrics) CountCrowded(reason string) { m.crowded.WithLabelValues(reason).Inc() }
+
 // Gauges are current values of a VM's state.
 type Gauges struct {
 	RoutingVersion float64
@@ -123,6 +131,12 @@
 	BufferedBytes float64
 	// MemoryRefused counts bodies and events for which there was no memory.
 	MemoryRefused float64
+	// Accounts counts client accounts with recent use where room is shared by account, and
+	// LargestAccountShare is the share of that use that the largest has.
+	Accounts, LargestAccountShare float64
+	// OvertakenServed counts generations that came first because their account had been
+	// overtaken for too long.
+	OvertakenServed float64
 }
 
 // RegisterGauges registers the gauges and the counter of dropped log lines; read and
@@ -148,6 +162,9 @@
 		"value_bytes_received": {"Bytes of large values received from other VMs, since the start.", func(g Gauges) float64 { return g.ValueBytesReceived }},
 		"buffered_bytes":       {"Bytes of bodies and events that wait until they are complete.", func(g Gauges) float64 { return g.BufferedBytes }},
 		"memory_refused":       {"Bodies and events for which there was no memory, since the start.", func(g Gauges) float64 { return g.MemoryRefused }},
+		"accounts":             {"Client accounts with recent use, where room is shared by account.", func(g Gauges) float64 { return g.Accounts }},
+		"account_use_largest":  {"Share of that use that the largest client account has.", func(g Gauges) float64 { return g.LargestAccountShare }},
+		"overtaken_served":     {"Generations that came first because their account had been overtaken for too long, since the start.", func(g Gauges) float64 { return g.OvertakenServed }},
 	} {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: g.help}, func() float64 { return g.value(read()) }))
 	}
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -65,6 +65,8 @@
 	resumesOnLeaving int
 	// resumed reports whether the next event is the first after a move.
 	resumed bool
+	// shared is how many tokens were recorded as used by the account.
+	shared int
 }
 
 // move is a last copy in progress. The engine ends the stream, which then
@@ -110,6 +112,7 @@
 	j.mu.Lock()
 	reservation.UpdateMemory(j.request.PromptTokens+expected, j.request.PromptTokens+generated)
 	s.recordIntervals(s.intervals)
+	j.recordMade(s)
 	j.mu.Unlock()
 	s.intervals = s.intervals[:0]
 }
@@ -196,6 +199,7 @@
 		j.endReservation(m.reservation)
 	}
 	j.mu.Lock()
+	j.recordMade(s)
 	delete(j.streams, s)
 	j.mu.Unlock()
 }
