--- a/fleet.go
+++ b/fleet.go
@@ -116,7 +116,7 @@
 // LoadDelta is one VM's load on the targets, complete or as changes.
 type LoadDelta struct {
 	// After is 0 if Loads is complete. Otherwise Loads holds the targets whose load
-	// changed after this heartbeat, with 0 requests if no load is left.
+	// changed after this heartbeat, with 0 in all fields if no load is left.
 	After uint64       `cbor:"after,omitempty"`
 	Loads []TargetLoad `cbor:"loads,omitempty"`
 }
--- a/process/recorder/relaymetrics.go
+++ b/process/recorder/relaymetrics.go
@@ -19,6 +19,7 @@
 	answers      *prometheus.CounterVec
 	moves        *prometheus.CounterVec
 	permits      *prometheus.CounterVec
+	reservations prometheus.Counter
 }
 
 // NewRelayMetrics returns metrics with their own registry.
@@ -37,8 +38,11 @@
 		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "permits_total", Help: "Requests for permits to send to limited targets, by outcome.",
 		}, []string{"outcome"}),
+		reservations: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "reservations_total", Help: "Generations for which memory on an engine was reserved while they waited.",
+		}),
 	}
-	m.registry.MustRegister(m.requestTime, m.firstEvent, m.capacityWait, m.answers, m.moves, m.permits)
+	m.registry.MustRegister(m.requestTime, m.firstEvent, m.capacityWait, m.answers, m.moves, m.permits, m.reservations)
 	return m
 }
 
@@ -73,6 +77,9 @@
 // CountPermit counts a request for a permit.
 func (m *RelayMetrics) CountPermit(outcome string) { m.permits.WithLabelValues(outcome).Inc() }
 
+// CountReservation counts a generation for which memory was reserved.
+func (m *RelayMetrics) CountReservation() { m.reservations.Inc() }
+
 // Gauges are current values of a VM's state.
 type Gauges struct {
 	RoutingVersion float64
@@ -100,6 +107,10 @@
 	BufferedBytes float64
 	// MemoryRefused counts bodies and events for which there was no memory.
 	MemoryRefused float64
+	// HeadroomTokens is the size of an urgent generation for which deferrable ones leave
+	// memory, HeadroomTargets the number of targets on which. ReservedTokens is the memory that
+	// the VM has reserved for queued urgent generations.
+	HeadroomTokens, HeadroomTargets, ReservedTokens float64
 }
 
 // RegisterGauges registers the gauges and the counter of dropped log lines; read and
@@ -123,6 +134,9 @@
 		"value_bytes_sent":     {"Bytes of large values sent to other VMs, since the start.", func(g Gauges) float64 { return g.ValueBytesSent }},
 		"value_bytes_received": {"Bytes of large values received from other VMs, since the start.", func(g Gauges) float64 { return g.ValueBytesReceived }},
 		"buffered_bytes":       {"Bytes of bodies and events that wait until they are complete.", func(g Gauges) float64 { return g.BufferedBytes }},
+		"headroom_tokens":      {"Size in tokens of an urgent generation for which deferrable ones leave memory, 0 without urgent ones.", func(g Gauges) float64 { return g.HeadroomTokens }},
+		"headroom_targets":     {"Targets on which deferrable generations are to leave memory for urgent ones, before the bound by the number of targets.", func(g Gauges) float64 { return g.HeadroomTargets }},
+		"reserved_tokens":      {"Memory on targets, in tokens, that this VM has reserved for urgent generations that wait.", func(g Gauges) float64 { return g.ReservedTokens }},
 		"memory_refused":       {"Bodies and events for which there was no memory, since the start.", func(g Gauges) float64 { return g.MemoryRefused }},
 	} {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: g.help}, func() float64 { return g.value(read()) }))
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -179,6 +179,7 @@
 
 func relayerSettings(s *bluebelldoor.RelaySettings) relayer.Settings {
 	return relayer.Settings{
+		VM:                s.Name,
 		DataCentre:        s.DataCentre,
 		MaxKeyEvidenceAge: time.Duration(float64(s.KeyEvidenceMaxAge) * keyEvidenceFraction),
 		MaxViewAge:        time.Duration(float64(s.UpdateWithin) * updateFraction),
--- a/process/runner/relaystatus.go
+++ b/process/runner/relaystatus.go
@@ -57,6 +57,7 @@
 // gauges returns the values of the metrics' gauges.
 func (r *Relay) gauges() recorder.Gauges {
 	s := r.Status()
+	headroom := r.relayer.Headroom()
 	behind := 0.0
 	if s.Behind {
 		behind = 1
@@ -66,6 +67,7 @@
 		ValueBytesSent: float64(r.values.Sent()), ValueBytesReceived: float64(r.values.Received()),
 		RoutingVersion: float64(s.RoutingVersion), PlatformEra: float64(s.Era), EvidenceAgeSeconds: float64(s.EvidenceAgeMs) / 1000,
 		Members: float64(len(s.Members)), Hubs: float64(len(s.Hubs)), Requests: float64(s.Requests),
+		HeadroomTokens: float64(headroom.Tokens), HeadroomTargets: float64(headroom.Targets), ReservedTokens: float64(headroom.Reserved),
 		BufferedBytes: float64(r.memory.Used()), MemoryRefused: float64(r.memory.Refused()),
 		Waiting: float64(s.Waiting), LimitedTargets: float64(s.LimitedTargets), QuarantinedParts: float64(s.QuarantinedParts),
 	}
--- a/request/placer/ledger.go
+++ b/request/placer/ledger.go
@@ -56,6 +56,10 @@
 	// totals are the loads of this VM and its peers, out of date if dirty.
 	totals map[string]load
 	dirty  bool
+	// version increases whenever totals change.
+	version uint64
+	// keepers are the targets that keep headroom, as of their version.
+	keepers headroomKeepers
 	// coldRequests are the times of the recent requests to cold targets.
 	coldRequests map[string][]time.Duration
 	// stalls count late events by target and by data centre.
@@ -151,7 +155,7 @@
 	own.tokens -= r.tokens
 	own.held -= r.held
 	own.streams -= r.streams
-	if own.requests == 0 {
+	if *own == (load{}) {
 		delete(r.ledger.own, r.target)
 	}
 	r.ledger.dirty = true
@@ -235,7 +239,7 @@
 func (l *Ledger) OwnLoads() []bluebelldoor.TargetLoad {
 	out := make([]bluebelldoor.TargetLoad, 0, len(l.own))
 	for target, own := range l.own {
-		out = append(out, bluebelldoor.TargetLoad{Target: target, Requests: own.requests, Tokens: own.tokens, HeldTokens: own.held, PrefillTokens: own.prefill, Streams: own.streams})
+		out = append(out, bluebelldoor.TargetLoad{Target: target, Requests: own.requests, Tokens: own.tokens, HeldTokens: own.held, PrefillTokens: own.prefill, Streams: own.streams, Reserved: own.reserved})
 	}
 	l.setIntervals(out)
 	return out
@@ -259,6 +263,7 @@
 		return
 	}
 	l.dirty = false
+	l.version++
 	clear(l.totals)
 	for target, peers := range l.peers.totals {
 		l.totals[target] = peers
--- a/request/placer/peers.go
+++ b/request/placer/peers.go
@@ -55,7 +55,7 @@
 }
 
 // Update applies the loads of a peer that have changed since its last report; one
-// without requests is removed. It returns false if the last report has expired.
+// without any load is removed. It returns false if the last report has expired.
 func (p *PeerLoads) Update(name string, loads []bluebelldoor.TargetLoad, now time.Duration) bool {
 	p.removeExpired(now)
 	report, held := p.reports[name]
@@ -63,7 +63,7 @@
 		return false
 	}
 	for _, t := range loads {
-		if t.Requests == 0 {
+		if loadOf(t) == (load{}) {
 			delete(report.loads, t.Target)
 			continue
 		}
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -95,6 +95,8 @@
 	IsCopy bool
 	// Limits, if set, excludes targets whose load exceeds them.
 	Limits *Limits
+	// Reservation is the memory that is reserved for the request itself, nil for none.
+	Reservation *MemoryReservation
 }
 
 // Choice is the outcome of Pick.
@@ -120,32 +122,41 @@
 func (l *Ledger) Pick(candidates []Candidate, d Demand, now time.Duration, random func() float64) Choice {
 	l.updateTotals(now)
 	best := Choice{Index: -1, Cost: math.Inf(1)}
-	medianFailures, fast := l.medianFailures(candidates), l.fastInterval(candidates, d)
-	pauses, headroom := l.newPauseModel(candidates, d), l.newHeadroomCheck(candidates, d)
+	headroom := l.newHeadroomCheck(candidates, d)
+	// What the cost is relative to is calculated only if a candidate has room: the requests
+	// that wait are offered to all candidates again and again.
+	var medianFailures float64
+	var fast time.Duration
+	var pauses pauseModel
+	calculated := false
 	for i, c := range candidates {
 		if c.Cold && !l.allowsCold(c.Instance.ID, d.MaxColdPerSecond, now) {
 			continue
 		}
-		if usable := UsableConnections(d.ConnectionLimit); usable > 0 && l.totals[c.Instance.ID].requests >= usable {
+		total := l.loadFor(c.Instance.ID, d)
+		if usable := UsableConnections(d.ConnectionLimit); usable > 0 && total.requests >= usable {
 			best.Missing = max(best.Missing, NoConnection)
 			continue
 		}
-		if lacks := l.lacks(c, d); lacks != HasRoom {
+		if lacks := l.lacks(c, total, d); lacks != HasRoom {
 			best.Missing = max(best.Missing, lacks)
 			continue
 		}
-		if !headroom.allows(l.totals[c.Instance.ID], d) {
+		if !headroom.allows(i, total, d) {
 			best.Missing = max(best.Missing, NoMemory)
 			continue
 		}
-		cost, full := l.loadCost(c, d, medianFailures)
-		cost += l.stallCost(c, d, now) + l.intervalCost(c, fast) + pauses.cost(l.totals[c.Instance.ID], l.interval(c.Instance.ID))
+		if !calculated {
+			medianFailures, fast, pauses = l.medianFailures(candidates), l.fastInterval(candidates, d), l.newPauseModel(candidates, d)
+			calculated = true
+		}
+		cost, full := l.loadCost(c, total, d, medianFailures)
+		cost += l.stallCost(c, d, now) + l.intervalCost(c, fast) + pauses.cost(total, l.interval(c.Instance.ID))
 		if l.isUnreachable(c.Instance.ID, now) {
 			cost += unreachableCost
 		}
 		cost += jitter * random()
 		if cost < best.Cost {
-			total := l.totals[c.Instance.ID]
 			best = Choice{
 				Index: i, Cost: cost, Full: full,
 				Requests: total.requests, Tokens: total.tokens, Held: total.held, Prefill: total.prefill, FailureRate: l.failureRates[c.Instance.ID],
@@ -170,8 +181,7 @@
 
 // loadCost returns the cost of a candidate by its failures, location, state and
 // load, and whether it has no free slot.
-func (l *Ledger) loadCost(c Candidate, d Demand, medianFailures float64) (float64, bool) {
-	total := l.totals[c.Instance.ID]
+func (l *Ledger) loadCost(c Candidate, total load, d Demand, medianFailures float64) (float64, bool) {
 	cost := failureCost * math.Max(0, l.failureRates[c.Instance.ID]-medianFailures)
 	if c.Instance.DataCentre != d.DataCentre {
 		cost += remoteCost
--- a/request/placer/room.go
+++ b/request/placer/room.go
@@ -85,10 +85,9 @@
 var CopyLimits = &Limits{PrefillTokens: math.Inf(1), HeldShare: 1}
 
 // lacks returns what a target lacks for a generation. An idle one has room for
-// any.
-func (l *Ledger) lacks(c Candidate, d Demand) Room {
-	total := l.totals[c.Instance.ID]
-	if d.Limits == nil || d.Engine == nil || total.requests == 0 {
+// any, unless others have reserved its memory.
+func (l *Ledger) lacks(c Candidate, total load, d Demand) Room {
+	if d.Limits == nil || d.Engine == nil || total.requests == 0 && total.reserved == 0 {
 		return HasRoom
 	}
 	memory := float64(d.Engine.MemoryTokens)
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -29,6 +29,8 @@
 
 // Settings are the limits that a VM applies to relayed requests.
 type Settings struct {
+	// VM is the name of this VM among its peers.
+	VM         string
 	DataCentre string
 	// MaxKeyEvidenceAge is the maximum age of the evidence that an API key is
 	// valid.
@@ -106,6 +108,8 @@
 	shortArrivals map[string]*placer.ShortArrivals
 	// urgentDemand tracks, by service, the latest urgent generations beside deferrable ones.
 	urgentDemand map[string]*placer.UrgentDemand
+	// reservations are, by service, the memory reserved for the first in the queue.
+	reservations map[string]*queueReservation
 	// polling reports whether pollForRoom is running.
 	polling bool
 }
@@ -128,6 +132,7 @@
 		queues:        map[string]*placer.Queue[*waiter]{},
 		shortArrivals: map[string]*placer.ShortArrivals{},
 		urgentDemand:  map[string]*placer.UrgentDemand{},
+		reservations:  map[string]*queueReservation{},
 	}
 	r.settings.Store(&settings)
 	r.ending, r.end = context.WithCancel(context.Background())
--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -35,6 +35,8 @@
 	placed chan placement
 	// lacks is what the targets lacked at the last attempt to place it.
 	lacks placer.Room
+	// reserved is set once memory has been reserved for it.
+	reserved bool
 }
 
 // mustQueue reports whether the request has to queue: a generation that has not
@@ -179,6 +181,9 @@
 	j.mu.Lock()
 	queue := j.queues[j.serviceName]
 	removed := queue != nil && queue.Remove(w)
+	if removed {
+		w.Value.release("the caller left")
+	}
 	j.mu.Unlock()
 	if !removed {
 		p := <-w.Value.placed
@@ -233,6 +238,9 @@
 		if r.draining.Load() {
 			refuseStreams(queue, now)
 		}
+		if q := r.reservations[name]; q != nil {
+			q.considered = false
+		}
 		queue.Dispatch(now, func(w *waiter) placer.Room {
 			w.lacks = w.place(now)
 			return w.lacks
@@ -242,6 +250,7 @@
 		}
 		if queue.Len() == 0 {
 			delete(r.queues, name)
+			delete(r.reservations, name)
 		}
 	}
 }
@@ -263,7 +272,11 @@
 	return bluebelldoor.NewRefusal(bluebelldoor.EnginesCrowded, detail).WithRetryAfter(w.job.crowdedRetryAfter())
 }
 
-func (w *waiter) refuse(refusal *bluebelldoor.Refusal) { w.placed <- placement{refusal: refusal} }
+// refuse ends the wait with a refusal. The caller must hold r.mu.
+func (w *waiter) refuse(refusal *bluebelldoor.Refusal) {
+	w.release("refused")
+	w.placed <- placement{refusal: refusal}
+}
 
 // place sends the generation a target that has room for it, or a refusal. It
 // returns what the targets lack if the generation has to wait on.
@@ -282,12 +295,16 @@
 		return placer.HasRoom
 	}
 	demand := j.demand()
-	demand.Limits = j.limits(now)
+	demand.Limits, demand.Reservation = j.limits(now), w.reservation()
 	choice := j.ledger.Pick(candidates, demand, now, rand.Float64)
 	if choice.Index < 0 {
+		if choice.Missing == placer.NoMemory {
+			w.reserve(candidates, demand, now)
+		}
 		return max(choice.Missing, placer.NoPrefillCapacity)
 	}
 	target := targets[choice.Index]
+	w.release("placed on " + target.ID)
 	w.placed <- placement{target: target, reservation: j.reserve(target, candidates[choice.Index].Cold, demand, now)}
 	j.logChoice(target, choice, len(targets), now)
 	return placer.HasRoom
