--- a/request/placer/headroom.go
+++ b/request/placer/headroom.go
@@ -140,6 +140,9 @@
 	candidates []Candidate
 	targets    int
 	keeps      []bool
+	// eligible and sorted are buffers.
+	eligible []eligibleTarget
+	sorted   []int
 	// count is the number of targets that keep the headroom, of the number from which they
 	// were selected.
 	count, of int
@@ -156,18 +159,40 @@
 	k.version, k.targets = l.version, d.Limits.Headroom.Targets
 	k.candidates = append(k.candidates[:0], candidates...)
 	k.keeps = append(k.keeps[:0], make([]bool, len(candidates))...)
-	eligible := l.headroomEligible(candidates, d)
-	k.of = len(eligible)
+	l.selectEligible(candidates, d)
+	k.of = len(k.eligible)
 	k.count = min(k.targets, max(1, int(maxHeadroomShare*float64(k.of))), k.of)
-	slices.SortFunc(eligible, func(a, b eligibleTarget) int {
-		return cmp.Or(cmp.Compare(a.memory, b.memory), cmp.Compare(a.id, b.id))
-	})
-	for _, e := range eligible[:k.count] {
-		k.keeps[e.index] = true
+	if k.count > 0 {
+		k.selectKeepers()
 	}
 	return k
 }
 
+// selectKeepers selects the targets with the least memory in use, and of equal ones those with
+// the lowest ID, so that all VMs with the same loads select the same.
+func (k *headroomKeepers) selectKeepers() {
+	k.sorted = k.sorted[:0]
+	for _, e := range k.eligible {
+		k.sorted = append(k.sorted, e.memory)
+	}
+	slices.Sort(k.sorted)
+	highest, below := k.sorted[k.count-1], 0
+	var equal []eligibleTarget
+	for _, e := range k.eligible {
+		switch {
+		case e.memory < highest:
+			k.keeps[e.index] = true
+			below++
+		case e.memory == highest:
+			equal = append(equal, e)
+		}
+	}
+	slices.SortFunc(equal, func(a, b eligibleTarget) int { return cmp.Compare(a.id, b.id) })
+	for _, e := range equal[:k.count-below] {
+		k.keeps[e.index] = true
+	}
+}
+
 // eligibleTarget is a target that may keep headroom.
 type eligibleTarget struct {
 	index  int
@@ -175,24 +200,26 @@
 	id     string
 }
 
-// headroomEligible returns the targets whose free memory urgent generations can use: those that
-// are warm, confirmed and have a free slot. If none is, cold ones count.
-func (l *Ledger) headroomEligible(candidates []Candidate, d Demand) []eligibleTarget {
-	eligible := make([]eligibleTarget, 0, len(candidates))
+// selectEligible sets the targets whose free memory urgent generations can use: those that are
+// warm, confirmed and have a free slot. If none is, cold ones count.
+func (l *Ledger) selectEligible(candidates []Candidate, d Demand) {
+	k := &l.keepers
+	k.eligible = k.eligible[:0]
 	for _, withCold := range []bool{false, true} {
 		for i, c := range candidates {
+			if c.Lapsed || c.Cold != withCold {
+				continue
+			}
 			total := l.totals[c.Instance.ID]
-			slots := slotLimit(c, d)
-			if c.Lapsed || c.Cold != withCold || slots > 0 && total.requests >= slots {
+			if slots := slotLimit(c, d); slots > 0 && total.requests >= slots {
 				continue
 			}
-			eligible = append(eligible, eligibleTarget{i, total.held + total.reserved, c.Instance.ID})
+			k.eligible = append(k.eligible, eligibleTarget{i, total.held + total.reserved, c.Instance.ID})
 		}
-		if len(eligible) > 0 {
-			break
+		if len(k.eligible) > 0 {
+			return
 		}
 	}
-	return eligible
 }
 
 // allows reports whether the candidate at an index, which has a load, may get the generation.
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -97,6 +97,9 @@
 	Limits *Limits
 	// Reservation is the memory that is reserved for the request itself, nil for none.
 	Reservation *MemoryReservation
+	// Backfills marks a short urgent generation. It may use memory that is reserved for others,
+	// as it frees it before long ones would have made room for them.
+	Backfills bool
 }
 
 // Choice is the outcome of Pick.
--- a/request/placer/reserve.go
+++ b/request/placer/reserve.go
@@ -22,8 +22,8 @@
 )
 
 // MemoryReservation is memory on a target that is kept free for a queued generation of this VM,
-// its owner. For all other requests, it counts as memory in use. All methods may be called on
-// nil.
+// its owner. For other requests, it counts as memory in use, unless they backfill. All methods
+// may be called on nil.
 type MemoryReservation struct {
 	ledger *Ledger
 	target string
@@ -72,12 +72,16 @@
 }
 
 // loadFor returns the load that a request finds on a target: memory reserved for others counts
-// as memory in use.
+// as memory in use, unless the request backfills.
 func (l *Ledger) loadFor(target string, d Demand) load {
 	total := l.totals[target]
 	if total.reserved == 0 {
 		return total
 	}
+	if d.Backfills {
+		total.reserved = 0
+		return total
+	}
 	if d.Reservation.Target() == target {
 		total.reserved -= d.Reservation.tokens
 	}
@@ -151,9 +155,9 @@
 }
 
 // timeToRoom estimates how long until a target can begin a generation, and whether it is open
-// to it at all.
+// to it at all. It counts no reservations: targets that others keep reserved are passed over.
 func (l *Ledger) timeToRoom(c Candidate, d Demand, now time.Duration) (time.Duration, bool) {
-	total := l.loadFor(c.Instance.ID, d)
+	total := l.totals[c.Instance.ID]
 	slots := slotLimit(c, d)
 	if c.Cold || c.Lapsed || l.isUnreachable(c.Instance.ID, now) || slots > 0 && total.requests >= slots {
 		return 0, false
--- a/request/relayer/reserve.go
+++ b/request/relayer/reserve.go
@@ -15,12 +15,18 @@
 	considered bool
 }
 
+// isUrgent reports whether the request is a generation beside deferrable ones. That follows from
+// its route: the priority of an account decides who is first, not who can wait.
+func (j *job) isUrgent() bool {
+	terms := j.terms()
+	return j.route.Generates && terms.HasDeferrable() && !terms.Defers(j.route)
+}
+
 // mayReserve reports whether memory may be reserved for the generation: it is urgent and can
 // still begin in time. One whose account ranks below the route must not hold back others that
 // rank above it.
 func (j *job) mayReserve() bool {
-	terms := j.terms()
-	return terms.HasDeferrable() && !terms.Defers(j.route) && j.priority <= j.route.Priority && !j.isRetry()
+	return j.isUrgent() && j.priority <= j.route.Priority && !j.isRetry()
 }
 
 // reservation returns the memory reserved for the queued generation, nil for none. The caller
