--- a/request/placer/headroom_test.go
+++ b/request/placer/headroom_test.go
@@ -515,15 +515,31 @@
 	}
 }
 
+// TestHeadroomMoves checks that the headroom is kept on other targets once their loads, or the
+// candidates, have changed.
+func TestHeadroomMoves(t *testing.T) {
+	v := newReservingVM("v")
+	both := targetsOf("a", "b")
+	a, b := v.ledger.Start("a", 0, 0), v.ledger.Start("b", 0, 0)
+	d := placer.Demand{Tokens: 3700, HeldTokens: 3000, Long: true, Engine: mixedKind, MaxColdPerSecond: -1, Limits: placer.NewDeferrableLimits(placer.Headroom{Tokens: 20_000, Targets: 1}, false)}
+	a.UpdateMemory(10_000, 10_000)
+	b.UpdateMemory(15_000, 15_000)
+	v.ledger.Start("c", 0, 0).UpdateMemory(9_000, 9_000)
+	assert.DeepEqual(t, v.pickAll(both, d), []string{"b"})
+	a.UpdateMemory(16_000, 16_000)
+	assert.DeepEqual(t, v.pickAll(both, d), []string{"a"})
+	assert.DeepEqual(t, v.pickAll(append(both, targetsOf("c")...), d), []string{"a", "b"})
+}
+
 // pickAll returns the candidates that Pick chooses if the others are no candidates, in a list in
 // which these are unreachable.
 func (v *reservingVM) pickAll(candidates []placer.Candidate, d placer.Demand) []string {
 	var allowed []string
-	for now := time.Duration(0); len(allowed) < len(candidates); now += time.Minute {
+	for ; len(allowed) < len(candidates); v.now += time.Minute {
 		for _, id := range allowed {
-			v.ledger.RecordUnreachable(id, now)
+			v.ledger.RecordUnreachable(id, v.now)
 		}
-		id := v.pick(candidates, d, now)
+		id := v.pick(candidates, d, v.now)
 		if id == "" || slices.Contains(allowed, id) {
 			break
 		}
--- a/request/placer/reserve_test.go
+++ b/request/placer/reserve_test.go
@@ -15,10 +15,11 @@
 type reservingVM struct {
 	name   string
 	ledger *placer.Ledger
+	now    time.Duration // of the next pickAll
 }
 
 func newReservingVM(name string) *reservingVM {
-	return &reservingVM{name, placer.NewLedger()}
+	return &reservingVM{name: name, ledger: placer.NewLedger()}
 }
 
 // tell reports all loads of a VM to another.
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -20,11 +20,11 @@
 	if j.route.Generates {
 		d.Tokens, d.HeldTokens, d.Long = j.request.PromptTokens+j.expectedTokens(), j.request.PromptTokens, j.isLong()
 	}
-	d.Backfills = j.isUrgent() && !d.Long
 	if terms := j.terms(); j.route.Generates && terms.ProtectsStreams() {
 		d.MixesStreams, d.Protected, d.MaxEventGap = true, terms.Protects(j.route), j.route.MaxEventGap
 		d.Long = d.Long || d.Protected
 	}
+	d.Backfills = j.isUrgent() && !d.Long
 	if j.service.ColdPerSecond > 0 {
 		settings := j.settings.Load()
 		d.MaxColdPerSecond = (j.service.ColdPerSecond*settings.ColdFactor + settings.ColdAllowance) * coldRateMargin * j.sources.Share()
--- a/request/relayer/reserve_test.go
+++ b/request/relayer/reserve_test.go
@@ -59,6 +59,25 @@
 	return n
 }
 
+// TestReservedPlaced checks that the reservation of the only one in the queue ends when it is
+// placed.
+func TestReservedPlaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, routing := newReserving(t, true)
+		placed := make(chan bool, 1)
+		go func() {
+			target, _, _ := r.newWaiting(t.Context(), routing, "/labels/a", 0, 5000).waitForTarget()
+			placed <- target != nil
+		}()
+		synctest.Wait()
+		assert.Equal(t, r.reservedTokens(), 5000)
+		r.hold(18_000)
+		assert.Assert(t, <-placed)
+		assert.Equal(t, r.reservedTokens(), 0)
+		time.Sleep(time.Second) // the poller ends
+	})
+}
+
 // newWaiting returns a generation that arrives now on a route, with an account's priority.
 func (r *Relayer) newWaiting(ctx context.Context, routing *bluebelldoor.Routing, path string, priority, prompt int) *job {
 	j := &job{
