--- a/request/placer/reserve_test.go
+++ b/request/placer/reserve_test.go
@@ -22,9 +22,9 @@
 	return &reservingVM{name: name, ledger: placer.NewLedger()}
 }
 
-// tell reports all loads of a VM to another.
-func (v *reservingVM) tell(to *reservingVM, now time.Duration) {
-	to.ledger.ApplyPeerLoads(v.name, bluebelldoor.LoadDelta{Loads: v.ledger.OwnLoads()}, now)
+// tell reports all loads of a VM to another at 0.
+func (v *reservingVM) tell(to *reservingVM) {
+	to.ledger.ApplyPeerLoads(v.name, bluebelldoor.LoadDelta{Loads: v.ledger.OwnLoads()}, 0)
 }
 
 // fill fills targets up to a memory in use, as seen from the VMs.
@@ -116,7 +116,7 @@
 	reservation := v.reserve(nil, only, 0)
 	assert.Equal(t, reservation.Target(), "a")
 	assert.Equal(t, v.pick(only, smallDemand, 0), "", "another request of the same VM")
-	v.tell(w, 0)
+	v.tell(w)
 	assert.Equal(t, w.pick(only, smallDemand, 0), "", "another VM")
 	owner := largeDemand
 	owner.Reservation = reservation
@@ -132,7 +132,7 @@
 	reservation.End()
 	reservation.End()
 	assert.Equal(t, len(v.ledger.OwnLoads()), 0)
-	v.tell(w, 0)
+	v.tell(w)
 	assert.Equal(t, w.pick(only, smallDemand, 0), "a")
 }
 
@@ -205,8 +205,8 @@
 		rv, rw := v.reserve(nil, candidates, 0), w.reserve(nil, candidates, 0)
 		first := rv.Target()
 		assert.Equal(t, rw.Target(), first)
-		v.tell(w, 0)
-		w.tell(v, 0)
+		v.tell(w)
+		w.tell(v)
 		rv, rw = v.reserve(rv, candidates, 0), w.reserve(rw, candidates, 0)
 		assert.Assert(t, (rv.Target() == first) != (rw.Target() == first), "%q and %q, at first both %q", rv.Target(), rw.Target(), first)
 		assert.Assert(t, rv.Target() != "" && rw.Target() != "")
@@ -215,8 +215,8 @@
 		} else {
 			moved["v"]++
 		}
-		v.tell(w, 0)
-		w.tell(v, 0)
+		v.tell(w)
+		w.tell(v)
 		after := [2]string{rv.Target(), rw.Target()}
 		rv, rw = v.reserve(rv, candidates, 0), w.reserve(rw, candidates, 0)
 		assert.Equal(t, [2]string{rv.Target(), rw.Target()}, after, "the reservations do not move again")
@@ -248,7 +248,7 @@
 		}
 		for _, other := range vms {
 			if other != v {
-				v.tell(other, 0)
+				v.tell(other)
 			}
 		}
 	}
@@ -262,7 +262,7 @@
 	only := targetsOf("a")
 	fill(map[string]int{"a": 20_000}, 0, v, w)
 	assert.Equal(t, v.reserve(nil, only, 0).Target(), "a")
-	v.tell(w, 0)
+	v.tell(w)
 	const expiry = 3 * time.Second // of a VM's report
 	for now := time.Duration(0); now <= 2*expiry; now += 100 * time.Millisecond {
 		fill(map[string]int{"a": 20_000}, now, w)
--- a/request/relayer/reserve_test.go
+++ b/request/relayer/reserve_test.go
@@ -112,7 +112,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				j := r.newWaiting(ctx, routing, c.path, c.priority, c.prompt)
 				j.request.Within = c.within
-				go j.waitForTarget()
+				go func() { _, _, _ = j.waitForTarget() }()
 				synctest.Wait()
 				assert.Equal(t, r.reservedTokens(), c.want)
 				assert.Equal(t, r.Headroom().Reserved, c.want)
