--- a/process/recorder/relaymetrics.go
+++ b/process/recorder/relaymetrics.go
@@ -23,6 +23,7 @@
 	protected    *prometheus.CounterVec
 	slowStart    *prometheus.CounterVec
 	crowded      *prometheus.CounterVec
+	reservations prometheus.Counter
 }
 
 // NewRelayMetrics returns metrics with their own registry.
@@ -47,11 +48,14 @@
 		slowStart: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "slow_start_total", Help: "Targets that entered or left slow start, answers by what they say of their target, and requests beyond a window, by event.",
 		}, []string{"event"}),
+		reservations: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "reservations_total", Help: "Generations for which memory on an engine was reserved while they waited.",
+		}),
 	}
 	m.crowded = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "crowded_total", Help: "Refusals for lack of room, by reason.",
 	}, []string{"reason"})
-	m.registry.MustRegister(m.requestTime, m.firstEvent, m.capacityWait, m.answers, m.moves, m.permits, m.protected, m.slowStart, m.crowded)
+	m.registry.MustRegister(m.requestTime, m.firstEvent, m.capacityWait, m.answers, m.moves, m.permits, m.protected, m.slowStart, m.crowded, m.reservations)
 	return m
 }
 
@@ -102,6 +106,9 @@
 // CountCrowded counts a refusal for lack of room.
 func (m *RelayMetrics) CountCrowded(reason string) { m.crowded.WithLabelValues(reason).Inc() }
 
+// CountReservation counts a generation for which memory was reserved.
+func (m *RelayMetrics) CountReservation() { m.reservations.Inc() }
+
 // Gauges are current values of a VM's state.
 type Gauges struct {
 	RoutingVersion float64
@@ -137,6 +144,10 @@
 	// OvertakenServed counts generations that came first because their account had been
 	// overtaken for too long.
 	OvertakenServed float64
+	// HeadroomTokens is the size of an urgent generation for which deferrable ones leave
+	// memory, HeadroomTargets the number of targets on which. ReservedTokens is the memory that
+	// the VM has reserved for queued urgent generations.
+	HeadroomTokens, HeadroomTargets, ReservedTokens float64
 }
 
 // RegisterGauges registers the gauges and the counter of dropped log lines; read and
@@ -161,6 +172,9 @@
 		"value_bytes_sent":     {"Bytes of large values sent to other VMs, since the start.", func(g Gauges) float64 { return g.ValueBytesSent }},
 		"value_bytes_received": {"Bytes of large values received from other VMs, since the start.", func(g Gauges) float64 { return g.ValueBytesReceived }},
 		"buffered_bytes":       {"Bytes of bodies and events that wait until they are complete.", func(g Gauges) float64 { return g.BufferedBytes }},
+		"headroom_tokens":      {"Size in tokens of an urgent generation for which deferrable ones leave memory, 0 without urgent ones.", func(g Gauges) float64 { return g.HeadroomTokens }},
+		"headroom_targets":     {"Targets on which deferrable generations are to leave memory for urgent ones, before the bound by the number of targets.", func(g Gauges) float64 { return g.HeadroomTargets }},
+		"reserved_tokens":      {"Memory on targets, in tokens, that this VM has reserved for urgent generations that wait.", func(g Gauges) float64 { return g.ReservedTokens }},
 		"memory_refused":       {"Bodies and events for which there was no memory, since the start.", func(g Gauges) float64 { return g.MemoryRefused }},
 		"accounts":             {"Client accounts with recent use, where room is shared by account.", func(g Gauges) float64 { return g.Accounts }},
 		"account_use_largest":  {"Share of that use that the largest client account has.", func(g Gauges) float64 { return g.LargestAccountShare }},
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -100,6 +100,11 @@
 	Limits *Limits
 	// SlowStart is how the request treats targets in slow start.
 	SlowStart SlowStart
+	// Reservation is the memory that is reserved for the request itself, nil for none.
+	Reservation *MemoryReservation
+	// Backfills marks a short urgent generation. It may use memory that is reserved for others,
+	// as it frees it before long ones would have made room for them.
+	Backfills bool
 }
 
 // Choice is the outcome of Pick.
@@ -134,31 +139,40 @@
 func (l *Ledger) Pick(candidates []Candidate, d Demand, now time.Duration, random func() float64) Choice {
 	l.updateTotals(now)
 	best := Choice{Index: -1, Cost: math.Inf(1)}
-	windows := l.newWindowCheck(d, now)
-	medianFailures, fast := l.medianFailures(candidates), l.fastInterval(candidates, d)
-	pauses, headroom := l.newPauseModel(candidates, d), l.newHeadroomCheck(candidates, d)
+	windows, pauses := l.newWindowCheck(d, now), l.newPauseModel(candidates, d)
+	headroom := l.newHeadroomCheck(candidates, d)
+	// What the cost is relative to is calculated only if a candidate has room: the requests
+	// that wait are offered to all candidates again and again.
+	var medianFailures float64
+	var fast time.Duration
+	calculated := false
 	for i, c := range candidates {
 		window, atWindow := windows.check(c)
 		if c.Cold && !l.allowsCold(c.Instance.ID, d.MaxColdPerSecond, now) {
 			continue
 		}
-		if usable := UsableConnections(d.ConnectionLimit); usable > 0 && l.totals[c.Instance.ID].requests >= usable {
+		total := l.loadFor(c.Instance.ID, d)
+		if usable := UsableConnections(d.ConnectionLimit); usable > 0 && total.requests >= usable {
 			best.Missing = max(best.Missing, NoConnection)
 			continue
 		}
-		if lacks := l.lacks(c, d, pauses); lacks != HasRoom {
+		if lacks := l.lacks(c, total, d, pauses); lacks != HasRoom {
 			best.Missing = max(best.Missing, lacks)
 			continue
 		}
-		if !headroom.allows(l.totals[c.Instance.ID], d) {
+		if !headroom.allows(i, total, d) {
 			best.Missing = max(best.Missing, NoMemory)
 			continue
 		}
-		if pauses.excludes(l.totals[c.Instance.ID], l.usualInterval(c.Instance.ID)) {
+		if pauses.excludes(total, l.usualInterval(c.Instance.ID)) {
 			continue
 		}
-		cost, full := l.loadCost(c, d, medianFailures, pauses)
-		cost += l.stallCost(c, d, now) + l.intervalCost(c, d, fast) + pauses.cost(l.totals[c.Instance.ID], l.usualInterval(c.Instance.ID))
+		if !calculated {
+			medianFailures, fast = l.medianFailures(candidates), l.fastInterval(candidates, d)
+			calculated = true
+		}
+		cost, full := l.loadCost(c, total, d, medianFailures, pauses)
+		cost += l.stallCost(c, d, now) + l.intervalCost(c, d, fast) + pauses.cost(total, l.usualInterval(c.Instance.ID))
 		if l.isUnreachable(c.Instance.ID, now) {
 			cost += unreachableCost
 		}
@@ -168,7 +182,6 @@
 			chosen = &windows.best
 		}
 		if cost < chosen.Cost {
-			total := l.totals[c.Instance.ID]
 			*chosen = Choice{
 				Index: i, Cost: cost, Full: full, Window: window, OverWindow: atWindow,
 				Requests: total.requests, Tokens: total.tokens, Held: total.held, Prefill: total.prefill, FailureRate: l.failureRates[c.Instance.ID],
@@ -194,8 +207,7 @@
 
 // loadCost returns the cost of a candidate by its failures, location, state and
 // load, and whether it has no free slot.
-func (l *Ledger) loadCost(c Candidate, d Demand, medianFailures float64, pauses pauseModel) (float64, bool) {
-	total := l.totals[c.Instance.ID]
+func (l *Ledger) loadCost(c Candidate, total load, d Demand, medianFailures float64, pauses pauseModel) (float64, bool) {
 	cost := failureCost * math.Max(0, l.failureRates[c.Instance.ID]-medianFailures)
 	if c.Instance.DataCentre != d.DataCentre {
 		cost += remoteCost
--- a/request/placer/shortage.go
+++ b/request/placer/shortage.go
@@ -35,10 +35,10 @@
 	pauses := l.newPauseModel(candidates, d)
 	headroom := l.newHeadroomCheck(candidates, d)
 	out := make([]Shortage, 0, len(candidates))
-	for _, c := range candidates {
-		total := l.totals[c.Instance.ID]
-		lacks := l.lacks(c, d, pauses)
-		if lacks == HasRoom && !headroom.allows(total, d) {
+	for i, c := range candidates {
+		total := l.loadFor(c.Instance.ID, d)
+		lacks := l.lacks(c, total, d, pauses)
+		if lacks == HasRoom && !headroom.allows(i, total, d) {
 			lacks = NoMemory
 		}
 		if lacks == HasRoom {
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -28,6 +28,7 @@
 		d.Long = d.Long || d.Protected
 	}
 	d.SlowStart = j.slowStart()
+	d.Backfills = j.isUrgent() && !d.Long
 	if j.service.ColdPerSecond > 0 {
 		settings := j.settings.Load()
 		d.MaxColdPerSecond = (j.service.ColdPerSecond*settings.ColdFactor + settings.ColdAllowance) * coldRateMargin * j.sources.Share()
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -30,6 +30,8 @@
 
 // Settings are the limits that a VM applies to relayed requests.
 type Settings struct {
+	// VM is the name of this VM among its peers.
+	VM         string
 	DataCentre string
 	// MaxKeyEvidenceAge is the maximum age of the evidence that an API key is
 	// valid.
@@ -108,6 +110,8 @@
 	// urgentDemand tracks, by service, the latest urgent generations beside deferrable ones.
 	urgentDemand map[string]*placer.UrgentDemand
 	sharing      sharing
+	// reservations are, by service, the memory reserved for the first in the queue.
+	reservations map[string]*queueReservation
 	// polling reports whether pollForRoom is running.
 	polling bool
 	// observed is the view from which the ledger last learned of the targets.
@@ -133,6 +137,7 @@
 		shortArrivals: map[string]*placer.ShortArrivals{},
 		urgentDemand:  map[string]*placer.UrgentDemand{},
 		sharing:       newSharing(),
+		reservations:  map[string]*queueReservation{},
 	}
 	r.settings.Store(&settings)
 	r.ending, r.end = context.WithCancel(context.Background())
--- a/request/relayer/share.go
+++ b/request/relayer/share.go
@@ -165,7 +165,7 @@
 	}
 	retryAfter := w.retryAfter(now)
 	demand := j.demand()
-	demand.Limits = j.limits(now)
+	demand.Limits, demand.Reservation = j.limits(now), w.reservation()
 	_, candidates := j.candidates(now)
 	j.crowdedFields = []any{
 		"reason", reason, "priority", j.priority, "prompt", j.request.PromptTokens, "expected", j.expectedTokens(),
--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -33,6 +33,8 @@
 	lacks placer.Room
 	// early is by how much the caller returned earlier than it was told.
 	early time.Duration
+	// reserved is set once memory has been reserved for it.
+	reserved bool
 }
 
 // mustQueue reports whether the request has to queue: a generation that has not
@@ -181,6 +183,7 @@
 	removed := queue != nil && queue.Remove(w)
 	if removed {
 		j.observeQueue(j.serviceName, queue, false, j.clock.Now())
+		w.Value.release("the caller left")
 	}
 	j.mu.Unlock()
 	if !removed {
@@ -238,6 +241,9 @@
 			refuseStreams(queue, now)
 		}
 		overflow := queue.Overflow(now)
+		if q := r.reservations[name]; q != nil {
+			q.considered = false
+		}
 		queue.Dispatch(now, func(w *waiter) placer.Room {
 			w.lacks = w.place(now, overflow)
 			return w.lacks
@@ -249,6 +255,7 @@
 		r.observeQueue(name, queue, false, now)
 		if queue.Len() == 0 {
 			delete(r.queues, name)
+			delete(r.reservations, name)
 		}
 	}
 }
@@ -263,7 +270,11 @@
 	}
 }
 
-func (w *waiter) refuse(refusal *bluebelldoor.Refusal) { w.placed <- placement{refusal: refusal} }
+// refuse ends the wait with a refusal. The caller must hold r.mu.
+func (w *waiter) refuse(refusal *bluebelldoor.Refusal) {
+	w.release("refused")
+	w.placed <- placement{refusal: refusal}
+}
 
 // place sends the generation a target that has room for it, or a refusal. It
 // returns what the targets lack if the generation has to wait on.
@@ -282,12 +293,16 @@
 		return placer.HasRoom
 	}
 	demand := j.demand()
-	demand.Limits, demand.SlowStart.Overflow = j.limits(now), overflow
+	demand.Limits, demand.SlowStart.Overflow, demand.Reservation = j.limits(now), overflow, w.reservation()
 	choice := j.ledger.Pick(candidates, demand, now, rand.Float64)
 	if choice.Index < 0 {
+		if choice.Missing == placer.NoMemory {
+			w.reserve(candidates, demand, now)
+		}
 		return max(choice.Missing, placer.NoPrefillCapacity)
 	}
 	target := targets[choice.Index]
+	w.release("placed on " + target.ID)
 	w.placed <- placement{target: target, reservation: j.reserve(target, candidates[choice.Index].Cold, demand, now)}
 	j.recordPlaced(now)
 	j.logChoice(target, choice, len(targets), now)
