--- a/request/relayer/life.go
+++ b/request/relayer/life.go
@@ -39,6 +39,9 @@
 type moveLifecycle struct {
 	job     *job
 	machine *stateless.StateMachine
+	// relief is set while the move only frees a safe target. Such moves are counted apart, as
+	// no generation is lost if they fail.
+	relief bool
 }
 
 func newMoveMachine() *stateless.StateMachine {
@@ -56,7 +59,9 @@
 	return m
 }
 
-func (j *job) newLifecycle() *moveLifecycle { return &moveLifecycle{job: j, machine: newMoveMachine()} }
+func (j *job) newLifecycle(relief bool) *moveLifecycle {
+	return &moveLifecycle{job: j, machine: newMoveMachine(), relief: relief}
+}
 
 // fire applies a trigger, and counts the move once it has reached a final state.
 func (l *moveLifecycle) fire(trigger moveTrigger) {
@@ -65,7 +70,7 @@
 		return
 	}
 	if l.ended() {
-		l.job.Metrics.CountMoveStep(string(l.machine.MustState().(moveState)))
+		l.job.Metrics.CountMove(string(l.machine.MustState().(moveState)), l.relief)
 	}
 }
 
--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -88,7 +88,22 @@
 func (s *stream) runsOn(t *registrar.Target) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.ended && s.move == nil && s.target.ID == t.ID && s.target.StartedAt == t.StartedAt
+	return !s.ended && !s.isMoving() && s.target.ID == t.ID && s.target.StartedAt == t.StartedAt
+}
+
+// isMoving reports whether a last copy is in progress or the stream has yet to continue from
+// one. A stream whose last copy has failed may still run, and can be moved again. The caller
+// must hold s.mu.
+func (s *stream) isMoving() bool {
+	if s.move == nil {
+		return false
+	}
+	select {
+	case <-s.move.done:
+		return s.move.copyID != ""
+	default:
+		return true
+	}
 }
 
 func (s *stream) forwardedEvents() int {
@@ -104,19 +119,27 @@
 		return
 	}
 	s.awaitRelief()
-	j.moveTo(s, t, j.reserveDestination, false)
+	if s.runsOn(t) {
+		j.moveTo(s, t, false)
+	}
 }
 
 // reserver reserves a destination for a copy of a generation of the given size, nil if there is
 // none.
 type reserver func(source *registrar.Target, tried map[string]bool, tokens int) (*registrar.Target, *placer.Reservation)
 
-// moveTo moves a generation to a destination that reserve returns.
-func (j *job) moveTo(s *stream, t *registrar.Target, reserve reserver, budgeted bool) {
-	lifecycle := j.newLifecycle()
+// moveTo moves a generation off a target. relief is set if it moves only to free a safe target.
+// If the target leaves in the meantime, the move goes on as that of any generation there: it
+// already waits for its turn.
+func (j *job) moveTo(s *stream, t *registrar.Target, relief bool) {
+	lifecycle := j.newLifecycle(relief)
 	tokens := j.request.PromptTokens + s.forwardedEvents()*j.service.Engine.TokensPerEvent
 	releaseSource := j.Turns.Acquire(j.ctx, t.ID, j.request.ID, tokens)
 	defer releaseSource()
+	if relief {
+		// Before the turn is released, which takes a second if its grantor does not answer.
+		defer s.endRelief()
+	}
 	lifecycle.fire(turnGranted)
 	tried := map[string]bool{t.ID: true}
 	for range maxDestinations {
@@ -124,11 +147,15 @@
 			lifecycle.fire(streamEnded)
 			return
 		}
+		reserve := j.reserveDestination
+		if lifecycle.relief = lifecycle.relief && j.sources.View().AcceptsNewWork(t.Instance); lifecycle.relief {
+			reserve = j.reserveRelief
+		}
 		destination, reservation, releaseDestination := j.acquireDestination(t, tried, tokens, reserve)
 		if destination == nil {
 			break
 		}
-		j.copyTo(s, t, &move{done: make(chan struct{}), target: destination, reservation: reservation, budgeted: budgeted}, lifecycle)
+		j.copyTo(s, t, &move{done: make(chan struct{}), target: destination, reservation: reservation, budgeted: relief}, lifecycle)
 		releaseDestination()
 		if lifecycle.ended() {
 			return
@@ -136,7 +163,7 @@
 		tried[destination.ID] = true
 	}
 	lifecycle.fire(noDestination)
-	if budgeted {
+	if lifecycle.relief {
 		j.log.Debug("no engine can take the stream off a crowded one", "id", j.request.ID, "source", t.ID)
 		return
 	}
@@ -202,7 +229,8 @@
 	if choice.Index < 0 {
 		return nil, nil
 	}
-	return targets[choice.Index], j.reserveCopy(source, targets[choice.Index], choice, demand, n)
+	j.logDestination(source, targets[choice.Index], choice, demand, n)
+	return targets[choice.Index], j.reserveCopy(targets[choice.Index].ID, demand)
 }
 
 // copyDemand returns the requirements of a copy of the generation on its destination.
@@ -212,19 +240,30 @@
 	return demand
 }
 
-// reserveCopy records the copy of a generation on its destination. The caller must hold r.mu.
-func (j *job) reserveCopy(source, destination *registrar.Target, choice placer.Choice, demand placer.Demand, candidates int) *placer.Reservation {
-	reservation := j.ledger.Start(destination.ID, 0, 0)
+// reserveCopy records the copy of a generation on a target. The caller must hold r.mu.
+func (j *job) reserveCopy(target string, demand placer.Demand) *placer.Reservation {
+	reservation := j.ledger.Start(target, 0, 0)
 	reservation.UpdateMemory(max(demand.HeldTokens, demand.Tokens), demand.HeldTokens)
 	if demand.Protected {
 		reservation.Protect()
-		j.Metrics.CountProtected("move", choice.Safe)
-		j.log.Info("destination chosen", "id", j.request.ID, "source", source.ID, "target", destination.ID, "of", candidates, "relief", demand.IsRelief,
-			"cost", round3(choice.Cost), "prefill", choice.Prefill, "gapMs", choice.ExpectedGap.Milliseconds(), "safe", choice.Safe)
 	}
 	return reservation
 }
 
+// logDestination logs and counts the destination of a protected stream.
+func (j *job) logDestination(source, destination *registrar.Target, choice placer.Choice, demand placer.Demand, candidates int) {
+	if !demand.Protected {
+		return
+	}
+	step := "move"
+	if demand.IsRelief {
+		step = "relief"
+	}
+	j.Metrics.CountProtected(step, choice.Safe)
+	j.log.Info("destination chosen", "id", j.request.ID, "source", source.ID, "target", destination.ID, "of", candidates, "relief", demand.IsRelief,
+		"cost", round3(choice.Cost), "prefill", choice.Prefill, "gapMs", choice.ExpectedGap.Milliseconds(), "safe", choice.Safe)
+}
+
 // hasUnlimited reports whether a target that has not been tried has no limit.
 func (j *job) hasUnlimited(targets []*registrar.Target, tried map[string]bool) bool {
 	return slices.ContainsFunc(targets, func(t *registrar.Target) bool {
@@ -262,7 +301,7 @@
 		lifecycle.fire(lastCopyDone)
 	case errors.As(err, &copyErr) && copyErr.StoppedCopyID != "":
 		j.endReservation(reservation)
-		m.copyID, m.target, m.reservation = copyErr.StoppedCopyID, source, nil
+		m.copyID, m.target = copyErr.StoppedCopyID, source
 		lifecycle.fire(keptAtSource)
 	default:
 		m.running = notStopped(err)
@@ -286,7 +325,7 @@
 func (s *stream) startMove(m *move, source *registrar.Target) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ended || s.move != nil || s.target.ID != source.ID {
+	if s.ended || s.isMoving() || s.target.ID != source.ID {
 		return false
 	}
 	s.move = m
--- a/request/relayer/move_test.go
+++ b/request/relayer/move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -244,7 +245,10 @@
 	}, hclog.NewNullLogger())
 	t.Cleanup(reg.Start())
 	synctest.Wait()
-	r := New(Settings{DataCentre: "dc"}, Sources{View: reg.View, EvidenceAge: reg.EvidenceAge, Share: func() float64 { return 1 }}, Dependencies{
+	r := New(Settings{DataCentre: "dc"}, Sources{
+		View: reg.View, EvidenceAge: reg.EvidenceAge, Share: func() float64 { return 1 },
+		MarkLeaving: func(i *bluebelldoor.Instance) { reg.MarkLeaving(t.Context(), i) },
+	}, Dependencies{
 		Pauses: pauser.New(clock, hclog.NewNullLogger()), Limits: limiter.New(limiter.Fleet{}, clock, hclog.NewNullLogger()), Metrics: recorder.NewRelayMetrics(),
 	}, clock, hclog.NewNullLogger())
 	return &job{
@@ -326,10 +330,15 @@
 
 // protectedCount returns a value of the counter of protected streams.
 func protectedCount(t *testing.T, j *job, step, target string) float64 {
+	return counterValue(t, j, "bluebelldoor_protected_streams_total", map[string]string{"step": step, "target": target})
+}
+
+// counterValue returns the value of a counter, 0 if it has none with these labels.
+func counterValue(t *testing.T, j *job, name string, want map[string]string) float64 {
 	families, err := j.Metrics.Registry().Gather()
 	assert.NilError(t, err)
 	for _, family := range families {
-		if family.GetName() != "bluebelldoor_protected_streams_total" {
+		if family.GetName() != name {
 			continue
 		}
 		for _, metric := range family.GetMetric() {
@@ -337,7 +346,7 @@
 			for _, label := range metric.GetLabel() {
 				labels[label.GetName()] = label.GetValue()
 			}
-			if labels["step"] == step && labels["target"] == target {
+			if maps.Equal(labels, want) {
 				return metric.GetCounter().GetValue()
 			}
 		}
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -177,16 +177,19 @@
 // job is one request in progress.
 type job struct {
 	*Relayer
-	ctx           context.Context
-	call          *acceptor.Call
-	request       *bluebelldoor.RelayRequest
-	route         *bluebelldoor.RouteSpec
-	service       *bluebelldoor.ServiceKind
-	serviceName   string
-	account       string
-	priority      int
-	arrived       time.Duration
-	deadline      time.Duration // 0 for none
+	ctx         context.Context
+	call        *acceptor.Call
+	request     *bluebelldoor.RelayRequest
+	route       *bluebelldoor.RouteSpec
+	service     *bluebelldoor.ServiceKind
+	serviceName string
+	account     string
+	priority    int
+	arrived     time.Duration
+	deadline    time.Duration // 0 for none
+	// excludedMu guards excluded once a stream has begun, as the stream may be sent again while
+	// it is being moved.
+	excludedMu    sync.Mutex
 	excluded      map[string]bool
 	maybeExecuted int // sends after which a target may have run the request
 	notExecuted   int // sends that a target reported as not executed
--- a/request/relayer/relief.go
+++ b/request/relayer/relief.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"bluebelldoor/process/registrar"
 	"bluebelldoor/request/placer"
@@ -25,17 +26,26 @@
 	j.mu.Lock()
 	crowded := j.ledger.IsCrowded(t.ID, candidates, demand, now)
 	j.mu.Unlock()
-	if !crowded || !j.takeRetryBudget(reliefBudgetShare) {
+	if !crowded {
 		return
 	}
-	done := make(chan struct{})
 	s.mu.Lock()
-	s.relief = done
+	s.relief = make(chan struct{})
 	s.mu.Unlock()
-	go func() {
-		defer close(done)
-		j.moveTo(s, t, j.reserveRelief, true)
-	}()
+	// The target is checked after s.relief is set: a move off a leaving target that does not see
+	// s.relief began after the target was marked as leaving.
+	if !j.sources.View().AcceptsNewWork(t.Instance) || !j.hasReliefDestination(t, now) || !j.takeRetryBudget(reliefBudgetShare) {
+		s.endRelief()
+		return
+	}
+	go j.moveTo(s, t, true)
+}
+
+// endRelief lets a move off a leaving target proceed.
+func (s *stream) endRelief() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.relief)
 }
 
 // awaitRelief waits for the end of a move that frees a safe target.
@@ -52,24 +62,44 @@
 	}
 }
 
+// hasReliefDestination reports whether a target can take a stream now. Streams without one take
+// nothing from the retry budget.
+func (j *job) hasReliefDestination(source *registrar.Target, now time.Duration) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	_, choice, _ := j.pickRelief(map[string]bool{source.ID: true}, j.copyDemand(source, j.request.PromptTokens), now)
+	return choice.Index >= 0
+}
+
 // reserveRelief reserves a destination on which no prompt is being read and that is not safe.
 func (j *job) reserveRelief(source *registrar.Target, tried map[string]bool, tokens int) (*registrar.Target, *placer.Reservation) {
-	now := j.clock.Now()
-	targets, candidates := j.candidates(now)
+	demand, now := j.copyDemand(source, tokens), j.clock.Now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	targets, choice, demand := j.pickRelief(tried, demand, now)
+	if choice.Index < 0 {
+		return nil, nil
+	}
+	destination := targets[choice.Index]
+	if now < destination.ColdUntil {
+		j.ledger.RecordCold(destination.ID, now)
+	}
+	j.logDestination(source, destination, choice, demand, len(targets))
+	return destination, j.reserveCopy(destination.ID, demand)
+}
+
+// pickRelief returns the targets that have not been tried and the choice among them. A limited
+// target is no destination: the stream would be late while it waits for a permit. The caller
+// must hold r.mu.
+func (j *job) pickRelief(tried map[string]bool, demand placer.Demand, now time.Duration) ([]*registrar.Target, placer.Choice, placer.Demand) {
+	targets, candidates := j.destinations(now)
 	n := 0
 	for i, t := range targets {
-		if !tried[t.ID] {
+		if _, limited := j.Limits.Limit(t.Instance); !limited && !tried[t.ID] {
 			targets[n], candidates[n] = t, candidates[i]
 			n++
 		}
 	}
-	demand := j.copyDemand(source, tokens)
 	demand.IsRelief, demand.Limits = true, placer.ReliefLimits
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	choice := j.ledger.Pick(candidates[:n], demand, now, rand.Float64)
-	if choice.Index < 0 {
-		return nil, nil
-	}
-	return targets[choice.Index], j.reserveCopy(source, targets[choice.Index], choice, demand, n)
+	return targets[:n], j.ledger.Pick(candidates[:n], demand, now, rand.Float64), demand
 }
--- a/request/relayer/resume.go
+++ b/request/relayer/resume.go
@@ -64,6 +64,9 @@
 		return nil, nil
 	}
 	if response := s.resumeCopyAt(m.target, m.copyID, m.budgeted); response != nil {
+		if m.target.ID == source.ID {
+			return response, j.reserveAtSource(s, source)
+		}
 		return response, m.reservation
 	}
 	j.endReservation(m.reservation)
@@ -71,7 +74,19 @@
 		return nil, nil
 	}
 	// The source keeps the memory of a generation that it stopped.
-	return s.resumeCopyAt(source, m.copyID, false), nil
+	if response := s.resumeCopyAt(source, m.copyID, false); response != nil {
+		return response, j.reserveAtSource(s, source)
+	}
+	return nil, nil
+}
+
+// reserveAtSource records the load of a generation that continues at the source of a move. Its
+// first reservation ended with the response that the last copy stopped.
+func (j *job) reserveAtSource(s *stream, source *registrar.Target) *placer.Reservation {
+	demand := j.copyDemand(source, j.request.PromptTokens+s.forwardedEvents()*j.service.Engine.TokensPerEvent)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.reserveCopy(source.ID, demand)
 }
 
 // resumeCopyAt asks a target to resume from a copy. It returns nil if the target
@@ -132,7 +147,7 @@
 // rerun runs the request again on another target, to continue after the last event.
 func (s *stream) rerun(cause error) (*exchanger.Response, *placer.Reservation) {
 	j := s.job
-	j.excluded[s.target.ID] = true
+	j.exclude(s.target)
 	for j.mayRetry() {
 		t, reservation, refusal := j.placePermitted()
 		if refusal != nil {
@@ -162,7 +177,7 @@
 		j.log.Warn("stream not resumed", "id", j.request.ID, "target", t.ID, "after", after, "why", err.Error())
 		j.endReservation(reservation)
 		j.maybeExecuted++
-		j.excluded[t.ID] = true
+		j.exclude(t)
 	}
 	return nil, nil
 }
--- a/request/relayer/targets.go
+++ b/request/relayer/targets.go
@@ -55,7 +55,7 @@
 	var targets []*registrar.Target
 	var candidates []placer.Candidate
 	for _, t := range view.ServiceTargets(j.serviceName) {
-		if !view.AcceptsNewWork(t.Instance) || j.excluded[t.ID] || unavailableFor(t) > 0 {
+		if !view.AcceptsNewWork(t.Instance) || j.isExcluded(t) || unavailableFor(t) > 0 {
 			continue
 		}
 		targets = append(targets, t)
@@ -64,6 +64,19 @@
 	return targets, candidates
 }
 
+// exclude excludes a target from further sends and moves of the request.
+func (j *job) exclude(t *registrar.Target) {
+	j.excludedMu.Lock()
+	defer j.excludedMu.Unlock()
+	j.excluded[t.ID] = true
+}
+
+func (j *job) isExcluded(t *registrar.Target) bool {
+	j.excludedMu.Lock()
+	defer j.excludedMu.Unlock()
+	return j.excluded[t.ID]
+}
+
 // unavailableFor returns how long until a target accepts the request from this VM: it has
 // asked for a pause, or has reached its limit, or the request has no time left to ask for a
 // permit.
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -78,7 +78,7 @@
 
 // prepareRetry excludes the target and logs that the request is sent to another.
 func (j *job) prepareRetry(t *registrar.Target, why string, more ...any) {
-	j.excluded[t.ID] = true
+	j.exclude(t)
 	args := append([]any{"id", j.request.ID, "target", t.ID, "why", why, "runs", j.maybeExecuted, "unrun", j.notExecuted}, more...)
 	j.log.Info("sending again", args...)
 }
