--- a/request/relayer/relief.go
+++ b/request/relayer/relief.go
@@ -9,8 +9,9 @@
 )
 
 // reliefBudgetShare is the fraction of the retry budget up to which streams are moved only to
-// free a safe target. The rest is for streams whose target leaves, and for retries.
-const reliefBudgetShare = 0.7
+// free a safe target. It is below retryBudgetShare, as retries would be refused otherwise while
+// there are many such moves. The rest is for streams whose target leaves.
+const reliefBudgetShare = 0.5
 
 // relieveTarget moves a protected stream that has just begun off its target, if the target is safe
 // and has several: prompts can be read there without a late event in any stream, while
--- a/request/relayer/relief_test.go
+++ b/request/relayer/relief_test.go
@@ -277,3 +277,18 @@
 		j.endReservation(reservation)
 	})
 }
+
+// TestReliefLeavesRetries guards against streams that are moved only to free an engine and use
+// up the retries of requests whose target failed.
+func TestReliefLeavesRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := crowdedStream(t, 0, &scriptedCopier{}).job
+		j.Budget = budgeter.New(budgeter.Settings{Window: time.Minute, Allowance: 100})
+		reliefs := 0
+		for j.takeRetryBudget(reliefBudgetShare) {
+			reliefs++
+		}
+		assert.Assert(t, reliefs > 0)
+		assert.Assert(t, j.takeRetryBudget(retryBudgetShare))
+	})
+}
