--- a/request/placer/pauses.go
+++ b/request/placer/pauses.go
@@ -162,11 +162,12 @@
 }
 
 // IsCrowded reports whether a protected stream on a target is to move to another, if one can take
-// it: the target is one of the safe ones and has enough streams.
+// it: the target is one of the safe ones and has enough streams. Where the median target is safe,
+// none has to be freed, and one that seems unsafe was probably measured in a slow period.
 func (l *Ledger) IsCrowded(target string, candidates []Candidate, d Demand, now time.Duration) bool {
 	l.updateTotals(now)
 	m := l.newPauseModel(candidates, d)
-	return d.Protected && l.totals[target].streams > maxSafeStreams && m.isSafe(l.usualInterval(target))
+	return d.Protected && l.totals[target].streams > maxSafeStreams && m.isSafe(l.usualInterval(target)) && !m.isSafe(m.usual)
 }
 
 // moveCost returns the cost of the first event at the destination of a move.
--- a/request/relayer/move_test.go
+++ b/request/relayer/move_test.go
@@ -236,11 +236,11 @@
 	}}
 }
 
-// protectedJob returns a job on a route of protectingRouting with engines source, slow and fast.
-func protectedJob(t *testing.T, route int) *job {
+// protectedJob returns a job on a route of protectingRouting with engines source, slow, fast and more.
+func protectedJob(t *testing.T, route int, more ...string) *job {
 	clock := testClock{time.Now()}
 	routing := protectingRouting()
-	reg := registrar.New(routingCatalogue{fakeCatalogue{"source slow fast"}, routing}, clock, registrar.Role{
+	reg := registrar.New(routingCatalogue{fakeCatalogue{strings.Join(append([]string{"source slow fast"}, more...), " ")}, routing}, clock, registrar.Role{
 		ReadsForPeers: func() bool { return true }, Standby: func() bool { return false }, Changed: func() {},
 	}, hclog.NewNullLogger())
 	t.Cleanup(reg.Start())
--- a/request/relayer/relief_test.go
+++ b/request/relayer/relief_test.go
@@ -21,9 +21,9 @@
 )
 
 // crowdedStream returns a stream on the safe engine source that has just begun beside another
-// protected one. Engine slow is not safe, engine fast is.
+// protected one. Engine fast is safe; slow is not, nor is limited, which has a limit.
 func crowdedStream(t *testing.T, route int, copier *scriptedCopier) *stream {
-	j := protectedJob(t, route)
+	j := protectedJob(t, route, "limited")
 	j.excluded = map[string]bool{}
 	j.Mover = copier
 	j.Turns = turner.New("vm", nil, func() []bluebelldoor.MemberState { return nil }, hclog.NewNullLogger())
@@ -32,9 +32,10 @@
 		Self: "vm", Hubs: func() []bluebelldoor.MemberState { return nil }, Coverage: func() float64 { return 1 },
 		Registered: func(bluebelldoor.TargetIncarnation) bool { return true }, Changed: func() {}, Counted: func(string) {},
 	}, j.clock, hclog.NewNullLogger())
-	for target, interval := range map[string]time.Duration{"source": safeInterval, "slow": unsafeInterval, "fast": safeInterval} {
+	for target, interval := range map[string]time.Duration{"source": safeInterval, "slow": unsafeInterval, "fast": safeInterval, "limited": unsafeInterval} {
 		j.ledger.RecordStreamIntervals("s", target, []time.Duration{interval, interval, interval, interval})
 	}
+	j.HandleResponseHead(j.sources.View().Target("limited").Instance, bluebelldoor.ResponseHead{Limit: bluebelldoor.RateLimit{Named: true, PerSecond: 2}})
 	for range 2 {
 		j.ledger.Start("source", 0, 0).Protect()
 	}
