--- a/request/placer/relief_test.go
+++ b/request/placer/relief_test.go
@@ -223,7 +223,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			with, without := c.simulateRelief(20*time.Millisecond, true), c.simulateRelief(20*time.Millisecond, false)
+			with, without := c.simulateRelief(true), c.simulateRelief(false)
 			t.Logf("with relief %v, %d moves\nwithout     %v", with, with.relieved, without)
 			if c.equal {
 				assert.Equal(t, with.relieved, 0)
@@ -250,17 +250,17 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			with, without := c.simulateRelief(20*time.Millisecond, true), c.simulateRelief(20*time.Millisecond, false)
+			with, without := c.simulateRelief(true), c.simulateRelief(false)
 			assert.Check(t, with.badShare() <= without.badShare(), "with relief %v\nwithout     %v", with, without)
 		})
 	}
 }
 
 // simulateRelief returns the sum over some seeds of a fleet that protects streams.
-func (c pausesScenario) simulateRelief(delay time.Duration, relieves bool) pausesResult {
+func (c pausesScenario) simulateRelief(relieves bool) pausesResult {
 	var sum pausesResult
 	for seed := range uint64(6) {
-		f := newPacedFleet(seed, c.paces, delay, true)
+		f := newPacedFleet(seed, c.paces, 20*time.Millisecond, true)
 		f.relieves, f.readsAtPace = relieves, true
 		sum = sum.plus(f.simulate(60*time.Second, c.phases...))
 	}
