--- a/request/relayer/reserve.go
+++ b/request/relayer/reserve.go
@@ -18,8 +18,7 @@
 // isUrgent reports whether the request is a generation beside deferrable ones. That follows from
 // its route: the priority of an account decides who is first, not who can wait.
 func (j *job) isUrgent() bool {
-	terms := j.terms()
-	return j.route.Generates && terms.HasDeferrable() && !terms.Defers(j.route)
+	return j.route.Generates && j.terms().IsUrgent(j.route)
 }
 
 // mayReserve reports whether memory may be reserved for the generation: it is urgent and can
--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -79,8 +79,7 @@
 	defer j.mu.Unlock()
 	w.ExpiresAt = j.latestStart()
 	w.StartBy = w.ExpiresAt
-	terms := j.terms()
-	urgent := terms.HasDeferrable() && !terms.Defers(j.route)
+	urgent := j.isUrgent()
 	if objective := j.route.LatencyObjective; objective > 0 {
 		w.StartBy = w.OrderTime + placer.MaxStartDelay(objective, j.request.PromptTokens)
 		if urgent {
@@ -126,11 +125,7 @@
 
 // limits returns the limits on targets for the queued generation. The caller must hold r.mu.
 func (j *job) limits(now time.Duration) *placer.Limits {
-	terms := j.terms()
-	if terms.HasDeferrable() {
-		if !terms.Defers(j.route) {
-			return placer.NewLimits(true, false)
-		}
+	if j.terms().Defers(j.route) {
 		return placer.NewDeferrableLimits(j.urgentDemandOf(j.serviceName).Headroom(j.sources.Share(), now), j.isRetry())
 	}
 	return placer.NewLimits(!j.isLong(), j.shortArrivalsOf(j.serviceName).RecentBefore(j.priority, now))
@@ -166,9 +161,9 @@
 func (j *job) maxQueueTime(objective time.Duration) time.Duration {
 	terms := j.terms()
 	switch {
-	case terms.HasDeferrable() && !terms.Defers(j.route):
+	case terms.IsUrgent(j.route):
 		return placer.MaxUrgentQueueTime(objective, j.request.PromptTokens)
-	case terms.HasDeferrable() && j.isRetry():
+	case terms.Defers(j.route) && j.isRetry():
 		return placer.MaxLateQueueTime(objective)
 	default:
 		return placer.MaxQueueTime(objective, j.request.PromptTokens)
--- a/terms.go
+++ b/terms.go
@@ -13,16 +13,17 @@
 // ServiceTerms are what the generating routes of a service ask of placement, taken
 // together. The zero value asks for nothing.
 type ServiceTerms struct {
-	// protected and deferrable are sets of route names.
-	protected, deferrable map[string]bool
+	// protected, deferrable and urgent are sets of route names.
+	protected, deferrable, urgent map[string]bool
 }
 
 // newServiceTerms derives the terms of a service from its generating routes.
 func newServiceTerms(routes []*RouteSpec) ServiceTerms {
-	t := ServiceTerms{protected: map[string]bool{}, deferrable: map[string]bool{}}
+	t := ServiceTerms{protected: map[string]bool{}, deferrable: map[string]bool{}, urgent: map[string]bool{}}
 	byPriority := slices.SortedStableFunc(slices.Values(routes), func(a, b *RouteSpec) int { return cmp.Compare(a.Priority, b.Priority) })
 	t.addProtected(byPriority)
 	t.addDeferrable(byPriority)
+	t.addUrgent(routes)
 	return t
 }
 
@@ -66,6 +67,17 @@
 	}
 }
 
+// addUrgent adds the routes because of which others are deferrable.
+func (t ServiceTerms) addUrgent(routes []*RouteSpec) {
+	for _, r := range routes {
+		for _, other := range routes {
+			if t.deferrable[other.Name] && r.Priority < other.Priority && r.LatencyObjective > 0 && other.LatencyObjective >= minTermsRatio*r.LatencyObjective {
+				t.urgent[r.Name] = true
+			}
+		}
+	}
+}
+
 // ProtectsStreams reports whether the service has protected routes.
 func (t ServiceTerms) ProtectsStreams() bool { return len(t.protected) > 0 }
 
@@ -81,5 +93,9 @@
 // have much more time to begin.
 func (t ServiceTerms) Defers(route *RouteSpec) bool { return t.deferrable[route.Name] }
 
+// IsUrgent reports whether the requests of a route are urgent: others that are deferrable rank
+// below them. A route may be neither.
+func (t ServiceTerms) IsUrgent(route *RouteSpec) bool { return t.urgent[route.Name] }
+
 // Adaptive reports whether the service has terms that need placement to adapt to the targets.
 func (t ServiceTerms) Adaptive() bool { return t.ProtectsStreams() || t.HasDeferrable() }
--- a/terms_test.go
+++ b/terms_test.go
@@ -51,8 +51,29 @@
 			assert.Equal(t, terms.ProtectsStreams(), c.protected)
 			assert.Equal(t, terms.Defers(&bluebelldoor.RouteSpec{Name: "long"}), c.deferrable)
 			assert.Equal(t, terms.HasDeferrable(), c.deferrable)
+			assert.Equal(t, terms.IsUrgent(&bluebelldoor.RouteSpec{Name: "short"}), c.deferrable)
+			assert.Assert(t, !terms.IsUrgent(&bluebelldoor.RouteSpec{Name: "long"}))
 			assert.Equal(t, terms.Adaptive(), c.protected || c.deferrable)
 			assert.Assert(t, !terms.Protects(&bluebelldoor.RouteSpec{Name: "short"}) && !terms.Defers(&bluebelldoor.RouteSpec{Name: "short"}))
 		})
 	}
 }
+
+// TestServiceTermsNeither guards against routes that are served as urgent ones because another
+// route of their service is deferrable: they rank beside that one.
+func TestServiceTermsNeither(t *testing.T) {
+	shares := []bluebelldoor.ServiceShare{{Service: "engines", Weight: 1}}
+	route := func(name string, priority int, objective time.Duration) bluebelldoor.RouteSpec {
+		return bluebelldoor.RouteSpec{Name: name, Host: "h", Prefix: "/" + name + "/", Priority: priority, LatencyObjective: objective, Generates: true, Shares: shares}
+	}
+	terms := bluebelldoor.NewRouting(bluebelldoor.RoutingSpec{Routes: []bluebelldoor.RouteSpec{
+		route("urgent", 0, 1800*time.Millisecond), route("deferrable", 1, 10*time.Second),
+		route("beside", 1, 1800*time.Millisecond), route("none", 0, 0), route("between", 0, 6*time.Second),
+	}}).Terms("engines")
+	for name, want := range map[string][2]bool{ // urgent, deferrable
+		"urgent": {true, false}, "deferrable": {false, true}, "beside": {false, false}, "none": {false, false}, "between": {false, false},
+	} {
+		r := &bluebelldoor.RouteSpec{Name: name}
+		assert.Equal(t, [2]bool{terms.IsUrgent(r), terms.Defers(r)}, want, name)
+	}
+}
