--- a/request/placer/wait.go
+++ b/request/placer/wait.go
@@ -14,9 +14,6 @@
 	// minStartMargin is the part of an urgent generation's objective that is left for a
 	// target that is slower than estimated.
 	minStartMargin = 400 * time.Millisecond
-	// retryWaitFactor is how many objectives a deferrable generation waits that came back
-	// after a refusal. Callers give up after four.
-	retryWaitFactor = 2
 	// maxRetryShare is the share of a caller's remaining time that it waits at
 	// most.
 	maxRetryShare = 1.0 / 3
@@ -42,10 +39,6 @@
 	return max(0, objective-minStartMargin-PrefillTime(prompt))
 }
 
-// MaxLateQueueTime returns how long a deferrable generation waits for room that came back
-// after a refusal. It is late, and another refusal would serve its caller less than a wait.
-func MaxLateQueueTime(objective time.Duration) time.Duration { return retryWaitFactor * objective }
-
 // RetryDelay returns the delay after which a caller that was refused for want of
 // room may retry: early enough for another attempt that begins within the
 // objective. If the time remaining until the deadline is too short for that, it
--- a/request/relayer/wait.go
+++ b/request/relayer/wait.go
@@ -78,8 +78,7 @@
 	defer j.mu.Unlock()
 	w.ExpiresAt = j.latestStart()
 	w.StartBy = w.ExpiresAt
-	terms := j.terms()
-	urgent := terms.IsUrgent(j.route)
+	urgent := j.isUrgent()
 	if objective := j.route.LatencyObjective; objective > 0 {
 		w.StartBy = w.OrderTime + placer.MaxStartDelay(objective, j.request.PromptTokens)
 		if urgent {
@@ -164,15 +163,10 @@
 
 // maxQueueTime returns how long the generation may wait for room with an objective.
 func (j *job) maxQueueTime(objective time.Duration) time.Duration {
-	terms := j.terms()
-	switch {
-	case terms.IsUrgent(j.route):
+	if j.isUrgent() {
 		return placer.MaxUrgentQueueTime(objective, j.request.PromptTokens)
-	case terms.Defers(j.route) && j.arrivedLate():
-		return placer.MaxLateQueueTime(objective)
-	default:
-		return placer.MaxQueueTime(objective, j.request.PromptTokens)
 	}
+	return placer.MaxQueueTime(objective, j.request.PromptTokens)
 }
 
 // leaveQueue removes a request whose deadline has passed or whose caller has
