--- a/process/recorder/relaymetrics.go
+++ b/process/recorder/relaymetrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -88,20 +87,11 @@
 // CountMoveStep counts a step of moving a generation to another engine.
 func (m *RelayMetrics) CountMoveStep(outcome string) { m.moves.WithLabelValues(outcome).Inc() }
 
-// CountMove counts a move that has ended in a state. Moves that only free a safe target are
-// counted as "relief.." outcomes, since nothing is lost if they fail.
-func (m *RelayMetrics) CountMove(state string, relief bool) {
-	if relief {
-		state = "relief" + strings.ToUpper(state[:1]) + state[1:]
-	}
-	m.CountMoveStep(state)
-}
-
 // CountPermit counts a request for a permit.
 func (m *RelayMetrics) CountPermit(outcome string) { m.permits.WithLabelValues(outcome).Inc() }
 
-// CountProtected counts a target that was chosen for a protected stream: step is start, move, or
-// relief for a move that only frees a safe target.
+// CountProtected counts a target that was chosen for a protected stream, at its start or for a
+// move.
 func (m *RelayMetrics) CountProtected(step string, safe bool) {
 	target := "unsafe"
 	if safe {
--- a/request/placer/pauses.go
+++ b/request/placer/pauses.go
@@ -32,9 +32,6 @@
 	// openingCost applies to a target that is not safe and has no protected streams, for a stream
 	// that is moved there: other requests have their prompts read on such targets.
 	openingCost = 1.5
-	// maxSafeStreams is how many protected streams may stay on a safe target while other targets
-	// can take them without being disturbed.
-	maxSafeStreams = 1
 	// assumedInterval is the usual event interval of a target that reads prompts at
 	// prefillTokensPerSecond. The time to read a prompt is proportional to the interval, within
 	// minPrefillFactor and maxPrefillFactor.
@@ -147,12 +144,6 @@
 	return cost
 }
 
-// excludes reports whether a target is no destination for a stream that is moved to free a safe
-// target.
-func (m *pauseModel) excludes(total load, interval time.Duration) bool {
-	return m.demand.IsRelief && (total.prefill > 0 || m.isSafe(interval))
-}
-
 // prefillFactor returns how much longer than assumed a target takes to read a prompt.
 func (m *pauseModel) prefillFactor(interval time.Duration) float64 {
 	if interval = m.orUsual(interval); !m.demand.MixesStreams || interval == 0 {
@@ -161,15 +152,6 @@
 	return min(max(float64(interval)/float64(assumedInterval), minPrefillFactor), maxPrefillFactor)
 }
 
-// IsCrowded reports whether a protected stream on a target is to move to another, if one can take
-// it: the target is one of the safe ones and has enough streams. Where the median target is safe,
-// none has to be freed, and one that seems unsafe was probably measured in a slow period.
-func (l *Ledger) IsCrowded(target string, candidates []Candidate, d Demand, now time.Duration) bool {
-	l.updateTotals(now)
-	m := l.newPauseModel(candidates, d)
-	return d.Protected && l.totals[target].streams > maxSafeStreams && m.isSafe(l.usualInterval(target)) && !m.isSafe(m.usual)
-}
-
 // moveCost returns the cost of the first event at the destination of a move.
 func (m *pauseModel) moveCost(total load, interval time.Duration) float64 {
 	cost := moveEventCost * float64(m.orUsual(interval)) / float64(max(m.demand.MaxEventGap, time.Millisecond))
--- a/request/placer/pauses_test.go
+++ b/request/placer/pauses_test.go
@@ -10,7 +10,6 @@
 	"gotest.tools/v3/assert"
 
 	"bluebelldoor"
-	"bluebelldoor/process/budgeter"
 	"bluebelldoor/request/placer"
 )
 
@@ -35,7 +34,6 @@
 	lastEvent                time.Duration
 	sample                   []time.Duration
 	sampled, late, gap       bool // gap: an interval exceeded maxGap
-	resumed                  bool // the next event is the first after a move
 }
 
 // pacedEngine is a model of an engine that works in cycles: a step that makes an event of each
@@ -57,22 +55,16 @@
 	queues  [vmCount]placer.Queue[*generation]
 	polling [vmCount]bool
 	// mixes is whether placement protects streams.
-	mixes bool
-	// relieves is whether streams move off crowded targets, within the budgets of the VMs.
-	relieves bool
-	budgets  [vmCount]*budgeter.Budgeter
-	// readsAtPace is whether all engines read chunks of the same size, so that the time to read a
-	// prompt is proportional to the pace.
-	readsAtPace bool
-	result      pausesResult
+	mixes  bool
+	result pausesResult
 }
 
 // pausesResult counts streams by outcome: with a gap over the limit, late at the start (refused
 // ones too), or either.
-type pausesResult struct{ long, longGap, longLate, longBad, short, shortLate, relieved int }
+type pausesResult struct{ long, longGap, longLate, longBad, short, shortLate int }
 
 func (r pausesResult) plus(s pausesResult) pausesResult {
-	return pausesResult{r.long + s.long, r.longGap + s.longGap, r.longLate + s.longLate, r.longBad + s.longBad, r.short + s.short, r.shortLate + s.shortLate, r.relieved + s.relieved}
+	return pausesResult{r.long + s.long, r.longGap + s.longGap, r.longLate + s.longLate, r.longBad + s.longBad, r.short + s.short, r.shortLate + s.shortLate}
 }
 
 func share(n, of int) float64 { return float64(n) / float64(max(1, of)) }
@@ -88,9 +80,6 @@
 
 func newPacedFleet(seed uint64, paces []time.Duration, reportDelay time.Duration, mixes bool) *pacedFleet {
 	f := &pacedFleet{fleet: newFleet(seed, len(paces), reportDelay), mixes: mixes}
-	for vm := range f.budgets {
-		f.budgets[vm] = budgeter.New(budgeter.Settings{Window: retryWindow, Ratio: retryRatio})
-	}
 	for i, e := range f.engines {
 		f.paced = append(f.paced, &pacedEngine{engine: e, pace: paces[i], random: rand.New(rand.NewPCG(seed, uint64(100+i)))})
 	}
@@ -128,11 +117,7 @@
 		e.streams = slices.DeleteFunc(e.streams, func(g *generation) bool { return f.emit(e, g, now) })
 		if len(e.prompts) > 0 {
 			g := e.prompts[0]
-			if f.readsAtPace {
-				g.unread -= averagePaceMs * prefillPerMs
-			} else {
-				g.unread -= prefillPerMs * int(e.pace.Milliseconds())
-			}
+			g.unread -= prefillPerMs * int(e.pace.Milliseconds())
 			if g.unread <= 0 {
 				e.prompts = e.prompts[1:]
 				f.begin(e, g, now)
@@ -154,19 +139,13 @@
 	}
 	e.streams = append(e.streams, g)
 	f.reportLoads(g.vm, now)
-	if g.protected && f.relieves {
-		f.relieve(e, g, now)
-	}
 }
 
 // emit makes the next event of a generation and reports whether it is the last.
 func (f *pacedFleet) emit(e *pacedEngine, g *generation, now time.Duration) bool {
 	interval := now - g.lastEvent
 	g.emitted, g.lastEvent = g.emitted+1, now
-	if !g.resumed {
-		g.sample = append(g.sample, interval)
-	}
-	g.resumed = false
+	g.sample = append(g.sample, interval)
 	g.gap = g.gap || interval > maxGap
 	last := g.emitted >= g.events
 	if len(g.sample) >= sampleEvents || !g.sampled && len(g.sample) >= 4 {
@@ -205,7 +184,6 @@
 // arrive queues a generation on its VM.
 func (f *pacedFleet) arrive(g *generation, now time.Duration) {
 	g.arrived, g.unread = now, g.prompt
-	f.budgets[g.vm].CountRequest("", now)
 	item := &placer.QueueItem[*generation]{Value: g, OrderTime: now, Long: g.hint >= placer.MinLongTokens}
 	objective := shortObjective
 	if g.protected {
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -93,9 +93,6 @@
 	// and targets in its data centre are preferred, as copies to others take twice
 	// as long.
 	IsCopy bool
-	// IsRelief marks the copy of a protected stream that is moved only to free a safe target
-	// for the prompts of others.
-	IsRelief bool
 	// Limits, if set, excludes targets whose load exceeds them.
 	Limits *Limits
 	// SlowStart is how the request treats targets in slow start.
@@ -164,9 +161,6 @@
 			best.Missing = max(best.Missing, NoMemory)
 			continue
 		}
-		if pauses.excludes(total, l.usualInterval(c.Instance.ID)) {
-			continue
-		}
 		if !calculated {
 			medianFailures, fast = l.medianFailures(candidates), l.fastInterval(candidates, d)
 			calculated = true
--- a/request/placer/room.go
+++ b/request/placer/room.go
@@ -84,10 +84,6 @@
 // CopyLimits are the limits for the copy of a running generation.
 var CopyLimits = &Limits{PrefillTokens: math.Inf(1), HeldShare: 1}
 
-// ReliefLimits are the limits for a protected stream that is moved to free a safe target. It
-// leaves room for those that have to move because their target leaves.
-var ReliefLimits = &Limits{PrefillTokens: math.Inf(1), HeldShare: maxLongHeldShare}
-
 // lacks returns what a target lacks for a generation. An idle one has room for
 // any, unless others have reserved its memory.
 func (l *Ledger) lacks(c Candidate, total load, d Demand, pauses pauseModel) Room {
--- a/request/relayer/life.go
+++ b/request/relayer/life.go
@@ -39,9 +39,6 @@
 type moveLifecycle struct {
 	job     *job
 	machine *stateless.StateMachine
-	// relief is set while the move only frees a safe target. Such moves are counted apart, as
-	// no generation is lost if they fail.
-	relief bool
 }
 
 func newMoveMachine() *stateless.StateMachine {
@@ -59,8 +56,8 @@
 	return m
 }
 
-func (j *job) newLifecycle(relief bool) *moveLifecycle {
-	return &moveLifecycle{job: j, machine: newMoveMachine(), relief: relief}
+func (j *job) newLifecycle() *moveLifecycle {
+	return &moveLifecycle{job: j, machine: newMoveMachine()}
 }
 
 // fire applies a trigger, and counts the move once it has reached a final state.
@@ -70,7 +67,7 @@
 		return
 	}
 	if l.ended() {
-		l.job.Metrics.CountMove(string(l.machine.MustState().(moveState)), l.relief)
+		l.job.Metrics.CountMoveStep(string(l.machine.MustState().(moveState)))
 	}
 }
 
--- a/request/relayer/move.go
+++ b/request/relayer/move.go
@@ -118,28 +118,10 @@
 	if j.service.Engine == nil || !j.service.Engine.CanCopy || !s.awaitFirstEvent(t) {
 		return
 	}
-	s.awaitRelief()
-	if s.runsOn(t) {
-		j.moveTo(s, t, false)
-	}
-}
-
-// reserver reserves a destination for a copy of a generation of the given size, nil if there is
-// none.
-type reserver func(source *registrar.Target, tried map[string]bool, tokens int) (*registrar.Target, *placer.Reservation)
-
-// moveTo moves a generation off a target. relief is set if it moves only to free a safe target.
-// If the target leaves in the meantime, the move goes on as that of any generation there: it
-// already waits for its turn.
-func (j *job) moveTo(s *stream, t *registrar.Target, relief bool) {
-	lifecycle := j.newLifecycle(relief)
+	lifecycle := j.newLifecycle()
 	tokens := j.request.PromptTokens + s.forwardedEvents()*j.service.Engine.TokensPerEvent
 	releaseSource := j.Turns.Acquire(j.ctx, t.ID, j.request.ID, tokens)
 	defer releaseSource()
-	if relief {
-		// Before the turn is released, which takes a second if its grantor does not answer.
-		defer s.endRelief()
-	}
 	lifecycle.fire(turnGranted)
 	tried := map[string]bool{t.ID: true}
 	for range maxDestinations {
@@ -147,15 +129,11 @@
 			lifecycle.fire(streamEnded)
 			return
 		}
-		reserve := j.reserveDestination
-		if lifecycle.relief = lifecycle.relief && j.sources.View().AcceptsNewWork(t.Instance); lifecycle.relief {
-			reserve = j.reserveRelief
-		}
-		destination, reservation, releaseDestination := j.acquireDestination(t, tried, tokens, reserve)
+		destination, reservation, releaseDestination := j.acquireDestination(t, tried, tokens)
 		if destination == nil {
 			break
 		}
-		j.copyTo(s, t, &move{done: make(chan struct{}), target: destination, reservation: reservation, budgeted: relief}, lifecycle)
+		j.copyTo(s, t, &move{done: make(chan struct{}), target: destination, reservation: reservation}, lifecycle)
 		releaseDestination()
 		if lifecycle.ended() {
 			return
@@ -163,10 +141,6 @@
 		tried[destination.ID] = true
 	}
 	lifecycle.fire(noDestination)
-	if lifecycle.relief {
-		j.log.Debug("no engine can take the stream off a crowded one", "id", j.request.ID, "source", t.ID)
-		return
-	}
 	j.log.Warn("no engine accepts the generation", "id", j.request.ID, "source", t.ID, "tokens", tokens, "tried", len(tried)-1)
 }
 
@@ -188,10 +162,10 @@
 // acquireDestination reserves an engine that is the destination of no other copy,
 // since the last copy of one generation would wait for the first copy of the
 // other. If all engines are taken, it reserves the best of them.
-func (j *job) acquireDestination(source *registrar.Target, tried map[string]bool, tokens int, reserve reserver) (*registrar.Target, *placer.Reservation, func()) {
+func (j *job) acquireDestination(source *registrar.Target, tried map[string]bool, tokens int) (*registrar.Target, *placer.Reservation, func()) {
 	excluded := maps.Clone(tried)
 	for range maxDestinations {
-		destination, reservation := reserve(source, excluded, tokens)
+		destination, reservation := j.reserveDestination(source, excluded, tokens)
 		if destination == nil {
 			break
 		}
@@ -201,7 +175,7 @@
 		j.endReservation(reservation)
 		excluded[destination.ID] = true
 	}
-	destination, reservation := reserve(source, tried, tokens)
+	destination, reservation := j.reserveDestination(source, tried, tokens)
 	return destination, reservation, func() {}
 }
 
@@ -257,12 +231,8 @@
 	if !demand.Protected {
 		return
 	}
-	step := "move"
-	if demand.IsRelief {
-		step = "relief"
-	}
-	j.Metrics.CountProtected(step, choice.Safe)
-	j.log.Info("destination chosen", "id", j.request.ID, "source", source.ID, "target", destination.ID, "of", candidates, "relief", demand.IsRelief,
+	j.Metrics.CountProtected("move", choice.Safe)
+	j.log.Info("destination chosen", "id", j.request.ID, "source", source.ID, "target", destination.ID, "of", candidates,
 		"cost", round3(choice.Cost), "prefill", choice.Prefill, "gapMs", choice.ExpectedGap.Milliseconds(), "safe", choice.Safe)
 }
 
--- a/request/relayer/resume.go
+++ b/request/relayer/resume.go
@@ -63,7 +63,7 @@
 	if m.copyID == "" {
 		return nil, nil
 	}
-	if response := s.resumeCopyAt(m.target, m.copyID, m.budgeted); response != nil {
+	if response := s.resumeCopyAt(m.target, m.copyID); response != nil {
 		if m.target.ID == source.ID {
 			return response, j.reserveAtSource(s, source)
 		}
@@ -74,7 +74,7 @@
 		return nil, nil
 	}
 	// The source keeps the memory of a generation that it stopped.
-	if response := s.resumeCopyAt(source, m.copyID, false); response != nil {
+	if response := s.resumeCopyAt(source, m.copyID); response != nil {
 		return response, j.reserveAtSource(s, source)
 	}
 	return nil, nil
@@ -91,7 +91,7 @@
 
 // resumeCopyAt asks a target to resume from a copy. It returns nil if the target
 // does not.
-func (s *stream) resumeCopyAt(t *registrar.Target, copyID string, budgeted bool) *exchanger.Response {
+func (s *stream) resumeCopyAt(t *registrar.Target, copyID string) *exchanger.Response {
 	j := s.job
 	request := j.targetRequest(t, s.events.lastID, copyID)
 	request.NewConn = true
@@ -101,9 +101,7 @@
 		j.Metrics.CountMoveStep("notResumed")
 		return nil
 	}
-	if !budgeted {
-		j.takeRetryBudget(1)
-	}
+	j.takeRetryBudget(1)
 	response, err := j.Targets.Send(j.ctx, t.Instance, request)
 	if err != nil {
 		j.log.Warn("copy not resumed", "id", j.request.ID, "target", t.ID, "error", err)
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -45,8 +45,6 @@
 	forwarded int // events sent to the caller
 	move      *move
 	ended     bool
-	// relief is closed once a move that frees a safe target has ended, nil if there was none.
-	relief chan struct{}
 
 	// The fields below belong to the goroutine that forwards events.
 
@@ -76,8 +74,6 @@
 	target      *registrar.Target
 	copyID      string
 	reservation *placer.Reservation
-	// budgeted is set if the retry budget already counts the move.
-	budgeted bool
 	// running is set if the last copy certainly did not stop the generation.
 	running bool
 }
@@ -360,7 +356,6 @@
 	if first {
 		s.job.recordSound()
 		s.job.recordPromptRead(reservation)
-		s.relieveTarget()
 		s.job.Metrics.ObserveFirstEvent(s.job.priority, s.job.clock.Now()-s.job.arrived)
 	}
 	return nil
