Log and count each connection that a target ends before its response is complete

The hypotheses of docs/incidents/deadly-part-anywhere.md could not be told apart: 'broken off' had the parts of the prompt only for streams without events, 'sending again' had none, and no line said at which point of the answer a connection ended, over a connection that had been idle or a new one, and with which start of the target. 'target ended the connection' has these, broken_exchanges_total counts them by point, and the line of a crash says which of its parts it does not speak against. No decision has changed.

--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -204,6 +204,7 @@
 	if !request.NewConn {
 		c = x.takeIdle(t)
 	}
+	reused := c != nil
 	if c == nil {
 		dialed, err := x.dial(ctx, t)
 		if err != nil {
@@ -219,7 +220,7 @@
 	response.stopWatch = context.AfterFunc(ctx, func() { c.conn.Close() })
 	if err := response.roundTrip(request); err != nil {
 		response.Close()
-		return nil, &bluebelldoor.SendError{Executed: bluebelldoor.ExecutedUnknown, WrongRequestID: errors.Is(err, errWrongRequestID), Cause: err}
+		return nil, &bluebelldoor.SendError{Executed: bluebelldoor.ExecutedUnknown, ConnReused: reused, WrongRequestID: errors.Is(err, errWrongRequestID), Cause: err}
 	}
 	return response, nil
 }
--- a/interfaces.go
+++ b/interfaces.go
@@ -120,6 +120,9 @@
 	Executed Executed
 	// UnknownGeneration is set if the target reports that it does not know the generation.
 	UnknownGeneration bool
+	// ConnReused is set if the request was sent over a connection that had been idle. The
+	// target may have closed that before the request came.
+	ConnReused bool
 	// WrongRequestID is set if the response belonged to another request.
 	WrongRequestID bool
 	// Cause is the underlying error.
--- a/process/quarantiner/quarantiner.go
+++ b/process/quarantiner/quarantiner.go
@@ -255,7 +255,7 @@
 	q.digestValid = false
 	q.active.Store(int64(len(q.crashes)))
 	q.log.Info("engine crashed before the first event", "service", c.service, "target", c.target, "account", c.account,
-		"parts", strings.Join(c.parts, ","), "ageMs", (now - c.at).Milliseconds(), "known", len(q.crashes), "peer", peer)
+		"parts", strings.Join(c.parts, ","), "proven", strings.Join(q.proven(c), ","), "ageMs", (now - c.at).Milliseconds(), "known", len(q.crashes), "peer", peer)
 	q.logChanges(now)
 }
 
@@ -274,6 +274,11 @@
 	}
 }
 
+// proven returns the parts of a crash that it does not speak against. The caller holds q.mu.
+func (q *Quarantiner) proven(c *crash) []string {
+	return slices.DeleteFunc(slices.Clone(c.parts), func(part string) bool { return q.counts(c, part) })
+}
+
 // isCleared reports whether a crash speaks against none of its parts any more. The caller
 // holds q.mu.
 func (q *Quarantiner) isCleared(c *crash) bool {
--- a/process/recorder/relaymetrics.go
+++ b/process/recorder/relaymetrics.go
@@ -23,6 +23,7 @@
 	protected    *prometheus.CounterVec
 	slowStart    *prometheus.CounterVec
 	crowded      *prometheus.CounterVec
+	broken       *prometheus.CounterVec
 	reservations prometheus.Counter
 }
 
@@ -55,7 +56,10 @@
 	m.crowded = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "crowded_total", Help: "Refusals for lack of room, by reason.",
 	}, []string{"reason"})
-	m.registry.MustRegister(m.requestTime, m.firstEvent, m.capacityWait, m.answers, m.moves, m.permits, m.protected, m.slowStart, m.crowded, m.reservations)
+	m.broken = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "broken_exchanges_total", Help: "Exchanges whose target ended the connection before the response was complete, by point.",
+	}, []string{"point"})
+	m.registry.MustRegister(m.broken, m.requestTime, m.firstEvent, m.capacityWait, m.answers, m.moves, m.permits, m.protected, m.slowStart, m.crowded, m.reservations)
 	return m
 }
 
@@ -87,6 +91,9 @@
 // CountMoveStep counts a step of moving a generation to another engine.
 func (m *RelayMetrics) CountMoveStep(outcome string) { m.moves.WithLabelValues(outcome).Inc() }
 
+// CountBroken counts an exchange that its target has ended before the response was complete.
+func (m *RelayMetrics) CountBroken(point string) { m.broken.WithLabelValues(point).Inc() }
+
 // CountPermit counts a request for a permit.
 func (m *RelayMetrics) CountPermit(outcome string) { m.permits.WithLabelValues(outcome).Inc() }
 
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -241,6 +241,9 @@
 			return s.job.call.Finish()
 		}
 		if err != nil {
+			if !s.hasMove() {
+				s.job.logBroken(s.target, brokenPoint(s.forwarded), s.forwarded, false, err)
+			}
 			if s.forwarded == 0 {
 				s.job.recordCrash(s.target)
 			}
@@ -263,6 +266,13 @@
 	return io.EOF
 }
 
+// hasMove reports whether a last copy has been asked for.
+func (s *stream) hasMove() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.move != nil
+}
+
 // stoppedForCopy reports whether a last copy may have stopped the generation. It waits for the
 // answer to the last copy.
 func (s *stream) stoppedForCopy() bool {
--- a/request/relayer/try.go
+++ b/request/relayer/try.go
@@ -109,6 +109,7 @@
 		return j.handleUnsent(t, err)
 	}
 	j.maybeExecuted++
+	j.logBroken(t, brokenUnanswered, 0, sendErr.ConnReused, err)
 	if !sendErr.WrongRequestID {
 		j.recordLostAnswer(t, err)
 	}
@@ -210,6 +211,7 @@
 	}
 	j.recordOutcome(t, true)
 	j.recordTrouble("connection")
+	j.logBroken(t, brokenPoint(len(body)), len(body), false, err)
 	if len(body) == 0 {
 		j.recordCrash(t)
 	}
@@ -263,6 +265,7 @@
 		}
 		err = readErr
 	}
+	j.logBroken(t, brokenInBody, len(first), false, err)
 	j.logOutcome("broken off", bluebelldoor.AnswerTruncated, err.Error(), "target", t.ID)
 	j.call.Abort()
 }
