--- /dev/null
+++ b/cmd/bluebelldoor/deadly_test.go
@@ -0,0 +1,231 @@
+package main_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bluebelldoor/standin/lender"
+)
+
+// The users' rules on a part of a prompt that crashes targets: no more than maxDeadlySends
+// requests with it reach targets later than stableWindow after crash crashesBeforeRule, and
+// sound requests are served from twice that time on.
+const (
+	stableWindow      = 3 * time.Second
+	crashesBeforeRule = 5
+	maxDeadlySends    = 3
+	minSoundShare     = 0.95
+
+	deadlyVMs     = 7
+	deadlyTargets = 8
+	deadlyCallers = 30
+	deadlyTime    = 10 * time.Second
+	// sessions is the number of parts that few sound requests have.
+	sessions = 60
+	// callerPause is the time between the answer to a caller and its next request.
+	callerPause = 200 * time.Millisecond
+)
+
+// deadlyCase is a way in which requests with certain parts end the process of their target.
+type deadlyCase struct {
+	path string
+	// acts are the points of the answer at which the process ends, one of them at random.
+	acts  []lender.Behaviour
+	share float64
+	// parts are the deadly ones, one in each deadly request.
+	parts []string
+	// odds is how many requests with the part there are for each that ends its target.
+	odds int
+	// keys are the API keys of the callers.
+	keys []string
+	// downFor is how long a target stays away.
+	downFor time.Duration
+	// killVMs kills a VM's process each second.
+	killVMs bool
+	// soundFor is how long the parts are sound at first.
+	soundFor time.Duration
+}
+
+func newDeadlyCase(path string, acts ...lender.Behaviour) deadlyCase {
+	return deadlyCase{path: path, acts: acts, share: 0.1, parts: []string{"dead0001"}, odds: 1, keys: []string{firstKey}, downFor: 500 * time.Millisecond}
+}
+
+func (c deadlyCase) with(change func(*deadlyCase)) deadlyCase {
+	change(&c)
+	return c
+}
+
+// deadlyRun is the run of one case.
+type deadlyRun struct {
+	*soak
+	c     deadlyCase
+	began time.Time
+
+	mu    sync.Mutex
+	sound []outcome
+	// deadly counts the answers to requests with a deadly part by status.
+	deadly map[int]int
+}
+
+// TestDeadlyPart guards against requests with a part of the prompt, or one and the same
+// request, that crash target after target because of the point of the answer at which the
+// targets end (BUDGET), and against refusing the sound requests beside them (LOST).
+func TestDeadlyPart(t *testing.T) {
+	unanswered := newDeadlyCase("stream", lender.EndUnanswered)
+	for name, c := range map[string]deadlyCase{
+		"no answer":                   unanswered,
+		"after the head":              newDeadlyCase("stream", lender.EndAfterHead),
+		"after three events":          newDeadlyCase("stream", lender.EndAfterEvents),
+		"after the last event":        newDeadlyCase("stream", lender.EndBeforeLast),
+		"after the answer":            newDeadlyCase("stream", lender.EndLater),
+		"any point, may be resumed":   newDeadlyCase("resume", lender.EndUnanswered, lender.EndAfterHead, lender.EndAfterEvents, lender.EndBeforeLast),
+		"a half":                      newDeadlyCase("stream", lender.EndAfterEvents).with(func(c *deadlyCase) { c.share = 0.5 }),
+		"one in fifty":                newDeadlyCase("stream", lender.EndAfterEvents).with(func(c *deadlyCase) { c.share = 0.02 }),
+		"two parts, two accounts":     newDeadlyCase("stream", lender.EndAfterEvents).with(func(c *deadlyCase) { c.parts, c.keys = []string{"dead0001", "dead0002"}, []string{firstKey, secondKey} }),
+		"every other time":            newDeadlyCase("stream", lender.EndAfterEvents).with(func(c *deadlyCase) { c.odds = 2 }),
+		"away for long":               newDeadlyCase("stream", lender.EndAfterEvents).with(func(c *deadlyCase) { c.downFor = 4 * time.Second }),
+		"VMs are killed":              unanswered.with(func(c *deadlyCase) { c.killVMs = true }),
+		"sound at first":              newDeadlyCase("stream", lender.EndAfterEvents).with(func(c *deadlyCase) { c.soundFor = 2 * time.Second }),
+		"application, no answer":      newDeadlyCase("unsafe", lender.EndUnanswered),
+		"application, after the head": newDeadlyCase("safe", lender.EndAfterHead),
+		"application, half an answer": newDeadlyCase("safe", lender.EndAfterEvents),
+	} {
+		t.Run(name, func(t *testing.T) { runDeadly(t, c) })
+	}
+}
+
+func runDeadly(t *testing.T, c deadlyCase) {
+	run := &deadlyRun{soak: newSoak(t, 1), c: c, deadly: map[int]int{}}
+	run.vmCount, run.accountPerKey = deadlyVMs, len(c.keys) > 1
+	run.configure(firstKey, secondKey)
+	service := "engine"
+	if c.path == "safe" || c.path == "unsafe" {
+		service = "app"
+	}
+	for i := range deadlyTargets {
+		target := run.targetSet.Add(fmt.Sprintf("%s-%d", service, i), service, dataCentre(i))
+		t.Cleanup(target.Stop)
+		target.SetDownFor(c.downFor)
+		target.SetBehaviour(run.behaviour)
+		run.targets = append(run.targets, target)
+	}
+	if service != "app" {
+		t.Cleanup(run.targetSet.Add("app-0", "app", dataCentre(0)).Stop)
+	}
+	run.startVMs()
+	run.awaitServing("before the first deadly request")
+	run.began = time.Now()
+	var callers sync.WaitGroup
+	for i := range deadlyCallers {
+		callers.Go(func() { run.call(i) })
+	}
+	if c.killVMs {
+		callers.Go(run.killVMs)
+	}
+	callers.Wait()
+	run.check(t)
+}
+
+// behaviour ends the target's process if the request is deadly.
+func (r *deadlyRun) behaviour(request *http.Request) lender.Behaviour {
+	if !r.isDeadly(request.Header, request.URL.Path) || rand.IntN(r.c.odds) > 0 || time.Since(r.began) < r.c.soundFor {
+		return lender.Serve
+	}
+	return r.c.acts[rand.IntN(len(r.c.acts))]
+}
+
+// isDeadly reports whether a request has a deadly part, or is the deadly one itself.
+func (r *deadlyRun) isDeadly(header http.Header, path string) bool {
+	return strings.HasSuffix(path, "/deadly") ||
+		slices.ContainsFunc(r.c.parts, func(part string) bool { return strings.Contains(header.Get("Prompt-Prefix"), part+":") })
+}
+
+// call sends requests as one caller, to one VM after the other.
+func (r *deadlyRun) call(caller int) {
+	random := rand.New(rand.NewPCG(1, uint64(caller)))
+	key := r.c.keys[caller%len(r.c.keys)]
+	for n := 0; time.Since(r.began) < deadlyTime; n++ {
+		vm := r.vms[(caller+n)%len(r.vms)]
+		id := fmt.Sprintf("d%d-%d", caller, n)
+		deadly := random.Float64() < r.c.share
+		middle := fmt.Sprintf("bbbb%04d:50,cccc%04d:30", random.IntN(4), random.IntN(sessions))
+		if deadly {
+			middle = r.c.parts[random.IntN(len(r.c.parts))] + ":50"
+		}
+		path, header := r.c.path, fmt.Sprintf("Token-Count: 50,12\r\nPrompt-Prefix: aaaa0001:79,%s,%x:40\r\n", middle, caller<<20+n)
+		if path == "safe" || path == "unsafe" {
+			header = "X-None: 1\r\n"
+			path += "/" + id
+			if deadly {
+				path = r.c.path + "/deadly"
+			}
+		}
+		o := r.send(nil, vm.caller, path, id, key, soakDeadline, header)
+		r.mu.Lock()
+		if deadly {
+			r.deadly[o.status]++
+		} else if o.status != 0 || !r.c.killVMs {
+			r.sound = append(r.sound, o)
+		}
+		r.mu.Unlock()
+		time.Sleep(max(callerPause, o.retryAfter))
+	}
+}
+
+// killVMs kills one VM's process after the other and starts it again.
+func (r *deadlyRun) killVMs() {
+	for n := 0; time.Since(r.began) < deadlyTime-2*time.Second; n++ {
+		r.restart(r.vms[n%len(r.vms)], syscall.SIGKILL)
+		time.Sleep(time.Second)
+	}
+}
+
+// check checks the rules.
+func (r *deadlyRun) check(t *testing.T) {
+	t.Helper()
+	var ends []time.Time
+	for _, target := range r.targets {
+		ends = append(ends, target.Ends()...)
+	}
+	slices.SortFunc(ends, time.Time.Compare)
+	assert.Assert(t, len(ends) >= 2, "the part crashed %d targets", len(ends))
+	decisive := ends[min(len(ends), crashesBeforeRule)-1]
+	late := 0
+	for _, e := range r.targetSet.AllExecutions() {
+		path, _, _ := strings.Cut(e.Path, "?")
+		if r.isDeadly(e.Header, path) && e.At.After(decisive.Add(stableWindow)) {
+			late++
+		}
+	}
+	failed, failedAfter, after, refused := 0, 0, 0, 0
+	for _, o := range r.sound {
+		ok := o.status == http.StatusOK && o.complete
+		if !ok {
+			failed++
+		}
+		if o.status == http.StatusUnprocessableEntity {
+			refused++
+		}
+		if o.sent.After(decisive.Add(2 * stableWindow)) {
+			after++
+			if !ok {
+				failedAfter++
+			}
+		}
+	}
+	t.Logf("%d crashes, the last after %.1f s, %d late sends; sound requests: %d of %d failed, %d of %d in the end, %d refused for a part; deadly by status: %v",
+		len(ends), ends[len(ends)-1].Sub(r.began).Seconds(), late, failed, len(r.sound), failedAfter, after, refused, r.deadly)
+	assert.Check(t, late <= maxDeadlySends, "BUDGET: %d requests with the part reached targets", late)
+	assert.Check(t, float64(failedAfter) <= (1-minSoundShare)*float64(after), "LOST: %d of %d sound requests failed", failedAfter, after)
+	assert.Check(t, refused == 0, "LOST: %d sound requests were refused for a part", refused)
+	assert.Check(t, r.deadly[http.StatusUnprocessableEntity] > 0, "no request with the part was refused for it")
+}
--- a/cmd/bluebelldoor/soak_test.go
+++ b/cmd/bluebelldoor/soak_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -95,6 +96,8 @@
 	planned bool
 	// vmCount is the number of VMs.
 	vmCount int
+	// accountPerKey is set if each API key has an account of its own.
+	accountPerKey bool
 
 	store     *lender.Store
 	targetSet *lender.Cluster
@@ -124,17 +127,23 @@
 	}
 }
 
-func runSoak(t *testing.T, seed uint64) {
+// newSoak returns the run of a seed, without VMs and targets.
+func newSoak(t *testing.T, seed uint64) *soak {
 	store, stopStore := lender.NewStore()
 	t.Cleanup(stopStore)
 	s := &soak{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(seed, 99)), limitRandom: rand.New(rand.NewPCG(seed, 98)), restoreRandom: rand.New(rand.NewPCG(seed, 97)), store: store, targetSet: lender.NewCluster(store), planned: seed%4 == 3, vmCount: soakVMs}
-	if seed%10 == 9 {
-		s.vmCount = largeSoakVMs
-	}
 	if logDir := os.Getenv("BLUEBELLDOOR_SOAK_LOGS"); logDir != "" {
-		s.dir = filepath.Join(logDir, fmt.Sprint(seed))
+		s.dir = filepath.Join(logDir, strings.ReplaceAll(t.Name(), "/", "-"), fmt.Sprint(seed))
 		assert.NilError(t, os.MkdirAll(s.dir, 0o755))
 	}
+	return s
+}
+
+func runSoak(t *testing.T, seed uint64) {
+	s := newSoak(t, seed)
+	if seed%10 == 9 {
+		s.vmCount = largeSoakVMs
+	}
 	s.configure(firstKey, secondKey)
 	for i := range 3 {
 		s.addTarget("app", i)
@@ -182,6 +191,13 @@
 		}
 		return r
 	}
+	accounts := []any{map[string]any{"name": "account", "api_keys": keys}}
+	if s.accountPerKey {
+		accounts = nil
+		for i, key := range keys {
+			accounts = append(accounts, map[string]any{"name": fmt.Sprintf("account-%d", i), "api_keys": []string{key}})
+		}
+	}
 	engine := map[string]any{"slots": 24, "kv_capacity": 34000, "kv_token_bytes": 1000, "link_mbps": 1000, "moves": true, "stride": 1}
 	s.store.Put("op/config", map[string]any{
 		"version": s.version,
@@ -196,7 +212,7 @@
 			map[string]any{"name": "engine", "cold_s": 0.5, "cold_per_s": 50, "engine": engine},
 		},
 		"limits":  map[string]any{"idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "account", "api_keys": keys}},
+		"tenants": accounts,
 	})
 }
 
--- a/cmd/bluebelldoor/soakcallers_test.go
+++ b/cmd/bluebelldoor/soakcallers_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -84,8 +85,9 @@
 	return &connection{Conn: conn, address: address, reader: bufio.NewReader(conn)}
 }
 
-// send sends a request, over a new connection if conn is nil.
-func (s *soak) send(conn *connection, address, path, id, key string, within time.Duration) outcome {
+// send sends a request, over a new connection if conn is nil. A stream has 60 events unless
+// header lines, which end with CRLF, say otherwise.
+func (s *soak) send(conn *connection, address, path, id, key string, within time.Duration, header ...string) outcome {
 	o := outcome{id: id, path: path, key: key, sent: time.Now()}
 	if conn == nil {
 		if conn = dialVM(address); conn == nil {
@@ -97,12 +99,15 @@
 	if conn.SetDeadline(time.Now().Add(within+2*time.Second)) != nil {
 		return o
 	}
-	tokens := ""
-	if path == "stream" || path == "resume" {
-		tokens = "Token-Count: 50,60\r\n"
+	lines := strings.Join(header, "")
+	if lines == "" && (path == "stream" || path == "resume") {
+		lines = "Token-Count: 50,60\r\n"
 	}
-	request := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: %d\r\n%sContent-Length: 4\r\n\r\nbody",
-		path, soakHost, id, key, within.Milliseconds(), tokens)
+	if !strings.Contains(path, "/") {
+		path += "/x"
+	}
+	request := fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: %d\r\n%sContent-Length: 4\r\n\r\nbody",
+		path, soakHost, id, key, within.Milliseconds(), lines)
 	if _, err := io.WriteString(conn, request); err != nil {
 		return o
 	}
--- a/standin/lender/stream.go
+++ b/standin/lender/stream.go
@@ -50,6 +50,12 @@
 		time.Sleep(eventInterval)
 		t.crash()
 		panic(http.ErrAbortHandler)
+	case EndAfterHead:
+		time.Sleep(eventInterval)
+		t.Restart()
+		panic(http.ErrAbortHandler)
+	case EndLater:
+		defer time.AfterFunc(endDelay, t.Restart)
 	}
 	if after > 0 && after >= events {
 		return // the stream was complete
@@ -86,6 +92,10 @@
 		}
 		_, _ = io.WriteString(w, event)
 		flusher.Flush()
+		if behaviour == EndAfterEvents && n >= eventsBeforeEnd || behaviour == EndBeforeLast && n >= g.events {
+			t.Restart()
+			panic(http.ErrAbortHandler)
+		}
 		if n >= g.events {
 			return
 		}
--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -101,15 +101,20 @@
 // Target is a stand-in for a model runner or an application runner. It is safe for
 // concurrent use.
 type Target struct {
-	ID        string
-	Service   string
-	Zone      string
-	cluster   *Cluster
-	server    *httptest.Server
-	address   string // as registered
-	startedMs int64
+	ID       string
+	Service  string
+	Zone     string
+	cluster  *Cluster
+	server   *httptest.Server
+	address  string // as registered
+	listener *restartListener
 
 	mu        sync.Mutex
+	startedMs int64
+	stopped   bool // by Stop
+	// ends are when the target's process ended. It then stays away for downFor.
+	ends      []time.Time
+	downFor   time.Duration
 	behaviour func(r *http.Request) Behaviour
 	// crashes are when the target crashed; it is away until downUntil.
 	crashes         []time.Time
@@ -157,8 +162,10 @@
 // AddBehindProxy starts a target and registers it at the address that proxy returns
 // for the target's own, that of a proxy in front of it.
 func (c *Cluster) AddBehindProxy(id, service, zone string, proxy func(address string) string) *Target {
-	t := &Target{ID: id, Service: service, Zone: zone, cluster: c, startedMs: time.Now().UnixMilli(), active: map[string]*generation{}, header: http.Header{}, conns: map[net.Conn]bool{}, slots: defaultSlots}
+	t := &Target{ID: id, Service: service, Zone: zone, cluster: c, startedMs: time.Now().UnixMilli(), active: map[string]*generation{}, header: http.Header{}, conns: map[net.Conn]bool{}, slots: defaultSlots, downFor: defaultDownFor}
 	t.server = httptest.NewUnstartedServer(t)
+	t.listener = newRestartListener(t.server.Listener)
+	t.server.Listener = t.listener
 	t.server.Config.ConnState = t.trackConn
 	t.server.Start()
 	t.address = proxy(t.server.Listener.Addr().String())
@@ -176,11 +183,11 @@
 func (t *Target) Register(state string) {
 	t.mu.Lock()
 	t.leaving = state == "draining"
-	slots, coldFor := t.slots, t.coldFor
+	slots, coldFor, startedMs := t.slots, t.coldFor, t.startedMs
 	t.mu.Unlock()
 	t.cluster.store.Put("servers/"+t.ID, map[string]any{
 		"service": t.Service, "address": t.Address(), "zone": t.Zone, "version": "v1", "slots": slots,
-		"state": state, "cold_ms": coldFor.Milliseconds(), "sequence": 1, "born": t.startedMs,
+		"state": state, "cold_ms": coldFor.Milliseconds(), "sequence": 1, "born": startedMs,
 	})
 }
 
@@ -298,6 +305,9 @@
 
 // Stop ends the target as a crash would, closing its connections.
 func (t *Target) Stop() {
+	t.mu.Lock()
+	t.stopped = true
+	t.mu.Unlock()
 	t.server.CloseClientConnections()
 	t.server.Close()
 }
@@ -322,7 +332,7 @@
 func (t *Target) handleReport(w http.ResponseWriter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	body := map[string]any{"stage": "combined", "active": len(t.active), "state": "ready"}
+	body := map[string]any{"stage": "combined", "active": len(t.active), "state": "ready", "born": t.startedMs}
 	if t.leaving {
 		body["state"], body["leaves_ms"] = "draining", 1500.0
 	}
@@ -381,6 +391,9 @@
 	case CrashSilently:
 		t.crash()
 		panic(http.ErrAbortHandler)
+	case EndUnanswered:
+		t.Restart()
+		panic(http.ErrAbortHandler)
 	case EndlessHead:
 		floodHead(w)
 	case Hang:
@@ -405,6 +418,7 @@
 	if t.hasCrashedSince(began) {
 		panic(http.ErrAbortHandler)
 	}
+	t.answerThenEnd(w, behaviour)
 	text := "answer to " + id
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	if behaviour == Truncate {
