A status that HTTP does not have is no response

Cause: parsers take any three digits, and only the ranges in use were asked for. The status line is checked where the head is read, before anything is made of it, so that it holds for all kinds of requests; the request counts as possibly run.

--- a/connection/dialer/dialer.go
+++ b/connection/dialer/dialer.go
@@ -21,6 +21,8 @@
 	maxResponseBytes  = 16 << 20
 	idleTimeout       = time.Second
 	reportIdleTimeout = 30 * time.Second
+	// statusAt is where the status is in a response.
+	statusAt = len("HTTP/1.1 ")
 )
 
 // Dialer sends requests to targets. It is safe for concurrent use.
@@ -53,6 +55,28 @@
 	conn network.Conn
 }
 
+// statusConn closes if the response has a status that HTTP does not have. The HTTP client
+// takes any digits, and 000 for 200.
+type statusConn struct {
+	network.Conn
+	checked, failed bool
+}
+
+// Peek implements network.Conn.
+func (c *statusConn) Peek(n int) ([]byte, error) {
+	b, err := c.Conn.Peek(n)
+	if err != nil || c.checked || len(b) <= statusAt {
+		return b, err
+	}
+	c.checked, c.failed = true, b[statusAt] < '1' || b[statusAt] > '5'
+	if c.failed {
+		_ = c.Close()
+	}
+	return b, nil
+}
+
+var errNoStatus = errors.New("target responded with a status that HTTP does not have")
+
 var errConnUsed = errors.New("connection already used")
 
 // DialConnection implements network.Dialer.
@@ -88,8 +112,9 @@
 	if err := ctx.Err(); err != nil {
 		return nil, cleanUp, &bluebelldoor.SendError{Executed: bluebelldoor.ExecutedNo, Cause: err}
 	}
+	checked := &statusConn{Conn: conn}
 	client := http1.NewHostClient(&http1.ClientOptions{
-		Dialer:              &singleUseDialer{Dialer: inner, conn: conn},
+		Dialer:              &singleUseDialer{Dialer: inner, conn: checked},
 		MaxConns:            1,
 		MaxIdleConnDuration: idleTimeout,
 		MaxResponseBodySize: maxResponseBytes,
@@ -98,7 +123,11 @@
 	}).(*http1.HostClient)
 	client.Addr = address
 	req.SetConnectionClose()
-	if err := client.Do(ctx, req, resp); err != nil {
+	err = client.Do(ctx, req, resp)
+	if checked.failed {
+		err = errNoStatus
+	}
+	if err != nil {
 		return nil, cleanUp, &bluebelldoor.SendError{Executed: bluebelldoor.ExecutedUnknown, Cause: err}
 	}
 	return resp, cleanUp, nil
--- a/connection/dialer/dialer_test.go
+++ b/connection/dialer/dialer_test.go
@@ -74,6 +74,10 @@
 		"closed immediately":          {func(net.Conn, func() *http.Request) {}, nil, bluebelldoor.ExecutedUnknown},
 		"closed mid-request":          {func(c net.Conn, _ func() *http.Request) { _, _ = c.Read(make([]byte, 10)) }, nil, bluebelldoor.ExecutedUnknown},
 		"no response":                 {respond(""), nil, bluebelldoor.ExecutedUnknown},
+		"status 000":                  {respond(strings.Replace(completeResponse, "200 OK", "000 Trouble", 1)), nil, bluebelldoor.ExecutedUnknown},
+		"status 099":                  {respond(strings.Replace(completeResponse, "200 OK", "099 Low", 1)), nil, bluebelldoor.ExecutedUnknown},
+		"status 600":                  {respond(strings.Replace(completeResponse, "200 OK", "600 High", 1)), nil, bluebelldoor.ExecutedUnknown},
+		"status 999":                  {respond(strings.Replace(completeResponse, "200 OK", "999 High", 1)), nil, bluebelldoor.ExecutedUnknown},
 		"wrong request ID":            {respond(strings.Replace(completeResponse, "call-1", "call-2", 1)), nil, bluebelldoor.ExecutedUnknown},
 		"target reports not executed": {respond("HTTP/1.1 503 Busy\r\nX-Executed: no\r\nContent-Length: 0\r\n\r\n"), nil, bluebelldoor.ExecutedNo},
 		"late response": {func(c net.Conn, read func() *http.Request) {
--- a/connection/exchanger/head.go
+++ b/connection/exchanger/head.go
@@ -65,11 +65,19 @@
 	}
 }
 
+// isStatusLine reports whether the text is a status line with a status of HTTP, 100 to 599.
+// The parser takes any three digits.
+func isStatusLine(text []byte) bool {
+	version, rest, _ := bytes.Cut(text, []byte(" "))
+	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	return bytes.HasPrefix(version, protocol) && len(status) == 3 && status[0] >= '1' && status[0] <= '5'
+}
+
 // isHeadLine reports whether the text can be that line of a head, counted from 0. The
 // parser checks the rest.
 func isHeadLine(line int, text []byte) bool {
 	if line == 0 {
-		return bytes.HasPrefix(text, protocol)
+		return isStatusLine(text)
 	}
 	return bytes.IndexByte(text, ':') > 0 || bytes.HasPrefix(text, []byte(" ")) || bytes.HasPrefix(text, []byte("\t"))
 }
--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -365,6 +365,9 @@
 	execution := t.recordExecution(r, string(body))
 	w.Header().Set("Server-Stamp", "stamp-"+t.ID)
 	t.withholdAnswer(w, r, behaviour)
+	if t.respondWithStatus(w, behaviour) {
+		return
+	}
 	switch behaviour {
 	case EndlessHead:
 		return
