--- a/process/quarantiner/quarantiner_test.go
+++ b/process/quarantiner/quarantiner_test.go
@@ -40,6 +40,15 @@
 	parts   string
 }
 
+// times returns events n times.
+func times(n int, events ...event) []event {
+	var out []event
+	for range n {
+		out = append(out, events...)
+	}
+	return out
+}
+
 // TestCheck checks which parts are kept away from engines, and from which accounts.
 func TestCheck(t *testing.T) {
 	const s = time.Second
@@ -73,6 +82,15 @@
 		"sound with another part":              {append(append([]event{}, three...), event{s, "", 9, "q r"}), 0, "a", "p", "p"},
 		"sound, then three more":               {append(append(append([]event{}, three...), event{s, "", 9, "p"}, event{time.Minute, "", 9, "x"}), three...), 0, "a", "p", "p"},
 		"nine minutes later":                   {three, 9 * time.Minute, "a", "p", "p"},
+		"every other time":                     {times(5, event{s, "a", 1, "p"}, event{s, "", 9, "p"}), s, "a", "p", "p"},
+		"every fourth time":                    {times(6, append([]event{{s, "a", 1, "p"}}, times(3, event{s, "", 9, "p"})...)...), s, "a", "p", ""},
+		"beside the cause of each":             {append(times(3, event{s, "a", 1, "z x"}, event{0, "a", 1, "p y"}), event{s, "a", 1, "z"}), 0, "a", "p", ""},
+		"the cause of each":                    {append(times(3, event{s, "a", 1, "p x"}, event{0, "a", 1, "a y"}), event{s, "a", 1, "p"}), 0, "a", "p", "p"},
+		"two causes":                           {times(4, event{s, "a", 1, "p"}, event{s, "a", 2, "z"}), 0, "a", "p", "p"},
+		"in few of many crashes":               {times(3, event{s, "a", 1, "p"}, event{s, "a", 2, "q"}, event{s, "a", 3, "r"}, event{s, "a", 4, "u"}), 0, "a", "p", ""},
+		"targets that end at once":             {[]event{{s, "a", 1, "p"}, {0, "a", 2, "p"}, {0, "a", 3, "p"}, {0, "a", 4, "p"}}, 0, "a", "p", ""},
+		"targets that end at once, one later":  {[]event{{s, "a", 1, "p"}, {0, "a", 2, "p"}, {0, "a", 3, "p"}, {s, "a", 4, "p"}}, 0, "a", "p", "p"},
+		"in all of many requests":              {times(4, event{s, "a", 1, "p q"}, event{0, "a", 1, "p r"}, event{0, "a", 1, "p u"}), 0, "a", "p x", ""},
 		"eleven minutes later":                 {three, 11 * time.Minute, "a", "p", ""},
 		"eleven minutes later, one more crash": {append(append([]event{}, three...), event{11 * time.Minute, "a", 4, "p"}), 0, "a", "p", "p"},
 		"two hours later, one more crash":      {append(append([]event{}, three...), event{2 * time.Hour, "a", 4, "p"}), 0, "a", "p", ""},
@@ -98,6 +116,42 @@
 	}
 }
 
+// TestProbe checks that one VM tries a request with quarantined parts once in a while, more
+// rarely the more crashes accuse them, and that complete answers end the quarantine.
+func TestProbe(t *testing.T) {
+	clock := &testClock{now: time.Minute}
+	prober := quarantiner.New(clock, func() {}, hclog.NewNullLogger(), quarantiner.WithProber(func(string) bool { return true }))
+	other := newVM(clock)
+	parts := []string{"p"}
+	crashBoth := func(n int) {
+		clock.now += time.Second
+		crash(prober, "a", parts, target(n))
+		crash(other, "a", parts, target(n))
+	}
+	probes := func(q *quarantiner.Quarantiner, after time.Duration) bool {
+		clock.now += after
+		verdict, quarantined := q.Check("s", "a", parts)
+		assert.Assert(t, quarantined)
+		return q.BeginProbe(verdict)
+	}
+	for n := range 3 {
+		crashBoth(n)
+	}
+	assert.Assert(t, !probes(prober, 9*time.Second))
+	assert.Assert(t, probes(prober, 2*time.Second))
+	assert.Assert(t, !probes(prober, time.Second), "two probes at once")
+	assert.Assert(t, !probes(other, time.Minute), "a probe of a VM that sends none")
+	crashBoth(3)
+	assert.Assert(t, !probes(prober, 30*time.Second), "no longer wait after another crash")
+	assert.Assert(t, probes(prober, 15*time.Second))
+	for range 3 {
+		prober.RecordSound("s", parts)
+		clock.now += time.Second
+	}
+	_, quarantined := prober.Check("s", "a", parts)
+	assert.Assert(t, !quarantined)
+}
+
 // tell sends what a VM suspects to another, as the gossip does.
 func tell(from, to *quarantiner.Quarantiner) int {
 	digest, _ := to.Crashes(0)
--- a/request/relayer/stream.go
+++ b/request/relayer/stream.go
@@ -170,6 +170,7 @@
 			return
 		}
 		response.Close()
+		j.exposure.Left()
 		j.endReservation(reservation)
 		if j.ctx.Err() != nil {
 			s.abort(err)
