Quarantiner: no preference for larger sets, which the guard against general sets makes needless; tests of what was not noticed

Taken out one at a time on a scratch copy: the search for further causes, the guard against sets that all requests have, the start in a target's name and the requests that the VM no longer waited for were not noticed; each has a test now that notices. The preference for larger sets was not noticed either and is gone.

--- a/process/detector/detector_test.go
+++ b/process/detector/detector_test.go
@@ -29,6 +29,7 @@
 		leaves     bool                  // the target is leaving
 		replacedIn time.Duration         // 0 for never
 		answersIn  time.Duration         // the other request is answered; 0 for never
+		leavesIn   time.Duration         // the VM waits no more for the other request; 0 for never
 		want       []string              // the requests that are accused in the end
 	}{
 		"refuses connections":          {signs: []detector.SignOfLife{detector.Refuses}, want: []string{"broken", "running"}},
@@ -37,6 +38,7 @@
 		"responds":                     {signs: []detector.SignOfLife{detector.Responds}},
 		"responds, then another start": {signs: []detector.SignOfLife{detector.Responds}, replacedIn: 500 * ms, want: []string{"broken", "running"}},
 		"another start, one answered":  {signs: []detector.SignOfLife{detector.Responds}, replacedIn: 500 * ms, answersIn: 200 * ms, want: []string{"broken"}},
+		"another start, one left":      {signs: []detector.SignOfLife{detector.Responds}, replacedIn: 500 * ms, leavesIn: 200 * ms, want: []string{"broken"}},
 		"another start much later":     {signs: []detector.SignOfLife{detector.Responds}, replacedIn: time.Minute},
 		"accepts connections":          {signs: []detector.SignOfLife{detector.Accepts}, want: []string{"broken"}},
 		"accepts, and answers":         {signs: []detector.SignOfLife{detector.Accepts}, answersIn: 40 * ms},
@@ -77,6 +79,9 @@
 				if c.answersIn > 0 {
 					time.AfterFunc(c.answersIn, running.Answered)
 				}
+				if c.leavesIn > 0 {
+					time.AfterFunc(c.leavesIn, running.Left)
+				}
 				time.Sleep(10 * time.Second)
 				synctest.Wait()
 				var got []string
--- a/process/quarantiner/evidence.go
+++ b/process/quarantiner/evidence.go
@@ -162,16 +162,7 @@
 	if len(found) == 0 {
 		return nil
 	}
-	best := slices.MaxFunc(found, compareSets)
-	// The parts that most prompts have are in the crashes that a rarer one causes: a larger set
-	// that explains most of the crashes is the better explanation.
-	found = slices.DeleteFunc(found, func(g *guiltySet) bool {
-		return len(g.parts) <= len(best.parts) || !containsAll(g.parts, best.parts) || g.crashes*5 <= best.crashes*4
-	})
-	if len(found) > 0 {
-		return slices.MaxFunc(found, compareSets)
-	}
-	return best
+	return slices.MaxFunc(found, compareSets)
 }
 
 // isGeneral reports whether all requests that ended had the set, and several with each target:
--- a/process/quarantiner/quarantiner_test.go
+++ b/process/quarantiner/quarantiner_test.go
@@ -87,10 +87,11 @@
 		"beside the cause of each":             {append(times(3, event{s, "a", 1, "z x"}, event{0, "a", 1, "p y"}), event{s, "a", 1, "z"}), 0, "a", "p", ""},
 		"the cause of each":                    {append(times(3, event{s, "a", 1, "p x"}, event{0, "a", 1, "a y"}), event{s, "a", 1, "p"}), 0, "a", "p", "p"},
 		"two causes":                           {times(4, event{s, "a", 1, "p"}, event{s, "a", 2, "z"}), 0, "a", "p", "p"},
+		"two causes, the other":                {times(4, event{s, "a", 1, "p"}, event{s, "a", 2, "z"}), 0, "a", "z", "z"},
 		"in few of many crashes":               {times(3, event{s, "a", 1, "p"}, event{s, "a", 2, "q"}, event{s, "a", 3, "r"}, event{s, "a", 4, "u"}), 0, "a", "p", ""},
 		"targets that end at once":             {[]event{{s, "a", 1, "p"}, {0, "a", 2, "p"}, {0, "a", 3, "p"}, {0, "a", 4, "p"}}, 0, "a", "p", ""},
 		"targets that end at once, one later":  {[]event{{s, "a", 1, "p"}, {0, "a", 2, "p"}, {0, "a", 3, "p"}, {s, "a", 4, "p"}}, 0, "a", "p", "p"},
-		"in all of many requests":              {times(4, event{s, "a", 1, "p q"}, event{0, "a", 1, "p r"}, event{0, "a", 1, "p u"}), 0, "a", "p x", ""},
+		"in all of many requests":              {[]event{{s, "a", 1, "p a"}, {0, "a", 1, "p b"}, {0, "a", 1, "p c"}, {s, "a", 1, "p d"}, {0, "a", 1, "p e"}, {0, "a", 1, "p f"}, {s, "a", 1, "p g"}, {0, "a", 1, "p h"}, {0, "a", 1, "p i"}}, 0, "a", "p x", ""},
 		"eleven minutes later":                 {three, 11 * time.Minute, "a", "p", ""},
 		"eleven minutes later, one more crash": {append(append([]event{}, three...), event{11 * time.Minute, "a", 4, "p"}), 0, "a", "p", "p"},
 		"two hours later, one more crash":      {append(append([]event{}, three...), event{2 * time.Hour, "a", 4, "p"}), 0, "a", "p", ""},
@@ -116,6 +117,18 @@
 	}
 }
 
+// TestRestartedTarget checks that a target that is back soon and ends again counts twice.
+func TestRestartedTarget(t *testing.T) {
+	clock := &testClock{now: time.Minute}
+	q := newVM(clock)
+	for i := range int64(3) {
+		clock.now += 500 * time.Millisecond
+		crash(q, "a", []string{"p"}, bluebelldoor.TargetIncarnation{ID: "engine", StartedAt: i})
+	}
+	_, quarantined := q.Check("s", "a", []string{"p"})
+	assert.Assert(t, quarantined)
+}
+
 // TestProbe checks that one VM tries a request with quarantined parts once in a while, more
 // rarely the more crashes accuse them, and that complete answers end the quarantine.
 func TestProbe(t *testing.T) {
