Crashes from before a VM's start count as they are; postmortem

A VM that starts on a machine that has just booted places crashes that peers tell it of before its clock's zero; the latest one was then taken for the first each time, and the set of parts was wrong. TestJustStarted failed before.

--- a/process/quarantiner/evidence.go
+++ b/process/quarantiner/evidence.go
@@ -254,17 +254,13 @@
 }
 
 // newGuiltySet returns the set of the parts that were in all requests of the crashes since a
-// time, and for which no more answers speak than for k. The caller holds q.mu.
+// time, the oldest first, and that answers do not clear. The caller holds q.mu.
 func (q *Quarantiner) newGuiltySet(k key, accusing []*crash, from time.Duration, n, answers int) *guiltySet {
 	g := &guiltySet{service: k.service, crashes: n, answers: answers, from: from}
+	first, _ := slices.BinarySearchFunc(accusing, from, func(c *crash, at time.Duration) int { return cmp.Compare(c.at, at) })
+	accusing = accusing[first:]
+	g.parts, g.account, g.last = slices.Clone(accusing[0].parts), accusing[0].account, accusing[len(accusing)-1].at
 	for _, c := range accusing {
-		if c.at < from {
-			continue
-		}
-		if g.last == 0 {
-			g.parts, g.account = slices.Clone(c.parts), c.account
-		}
-		g.last = max(g.last, c.at)
 		g.several = g.several || c.account != g.account
 		g.parts = slices.DeleteFunc(g.parts, func(part string) bool { return !slices.Contains(c.parts, part) })
 	}
--- a/process/quarantiner/quarantiner_test.go
+++ b/process/quarantiner/quarantiner_test.go
@@ -129,6 +129,19 @@
 	assert.Assert(t, quarantined)
 }
 
+// TestJustStarted checks that crashes from before the VM started count.
+func TestJustStarted(t *testing.T) {
+	old, started := newVM(&testClock{now: time.Hour}), newVM(&testClock{now: time.Second})
+	for i := range 4 {
+		ago := time.Minute - time.Duration(i)*time.Second
+		old.RecordCrash("s", target(i), ago, []quarantiner.Request{{Account: "a", Parts: []string{"p", fmt.Sprint(i)}}})
+	}
+	tell(old, started)
+	verdict, quarantined := started.Check("s", "a", []string{"p", "x"})
+	assert.Assert(t, quarantined)
+	assert.Equal(t, verdict.Age, 57*time.Second)
+}
+
 // TestProbe checks that one VM tries a request with quarantined parts once in a while, more
 // rarely the more crashes accuse them, and that complete answers end the quarantine.
 func TestProbe(t *testing.T) {
