--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -29,7 +29,7 @@
 
 // smallestMachine returns the limits of a VM of the grown sites with the smallest link.
 func smallestMachine() map[string]any {
-	return map[string]any{"memory_mb": 112, "cpu_share": 0.192, "cores": 1, "link_mbps": linkMegabits}
+	return map[string]any{"memory_mb": 112, "cpu_share": 0.192, "cores": 1, "link_mbps": storm.megabits}
 }
 
 // grownBounds returns the bounds of the grown sites.
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -37,7 +37,9 @@
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "bring about the disruption")
 	flag.BoolVar(&chunked, "chunked", true, "the store sends its answers in chunks")
-	flag.IntVar(&stormChanges, "changes", stormChanges, "changes of the configuration in quick succession")
+	flag.IntVar(&storm.changes, "changes", storm.changes, "changes of the configuration in quick succession")
+	flag.DurationVar(&storm.gap, "gap", storm.gap, "time between two of them")
+	flag.Float64Var(&storm.megabits, "link", storm.megabits, "rate in Mbit/s at which a VM reads the store")
 	flag.Parse()
 	os.Exit(run(*name, *program, *template, *record, *trouble))
 }
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -33,6 +34,8 @@
 	Gone     bool   `json:"is_gone,omitempty"`
 
 	written time.Time
+	// text is the item as JSON, encoded once: the store answers within milliseconds.
+	text []byte
 }
 
 // store is a stand-in for the platform's metadata store. It tells each change as it was
@@ -60,12 +63,15 @@
 }
 
 // put writes a value as JSON. When it returns, the store has acknowledged it.
-func (s *store) put(key string, value any) {
+func (s *store) put(key string, value any) { s.change(item{Key: key, Value: encode(value)}) }
+
+// encode returns a value as the store holds it.
+func encode(value any) string {
 	text, err := json.Marshal(value)
 	if err != nil {
 		panic(err) // the case passed a value that JSON cannot encode
 	}
-	s.change(item{Key: key, Value: base64.StdEncoding.EncodeToString(text)})
+	return base64.StdEncoding.EncodeToString(text)
 }
 
 func (s *store) remove(key string) { s.change(item{Key: key, Gone: true}) }
@@ -83,7 +89,12 @@
 	if i.Gone {
 		i.Created = 0
 		delete(s.items, i.Key)
-	} else {
+	}
+	text, err := json.Marshal(i)
+	if err != nil {
+		panic(err) // an item holds plain values
+	}
+	if i.text = text; !i.Gone {
 		s.items[i.Key] = i
 	}
 	s.history = append(s.history, i)
@@ -103,7 +114,7 @@
 	query := request.URL.Query()
 	switch request.URL.Path {
 	case "/-/kv-range":
-		writeJSON(w, s.page(query.Get("prefix"), query.Get("after")))
+		write(w, s.page(query.Get("prefix"), query.Get("after")))
 	case "/-/kv-key":
 		s.mu.Lock()
 		held, ok := s.items[query.Get("key")]
@@ -112,7 +123,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		writeJSON(w, held)
+		write(w, held.text)
 	case "/-/kv-watch":
 		s.watch(w, request)
 	default:
@@ -123,8 +134,12 @@
 func writeJSON(w http.ResponseWriter, body any) {
 	text, err := json.Marshal(body)
 	if err != nil {
-		panic(err) // items are plain values
+		panic(err) // the bodies are plain values
 	}
+	write(w, text)
+}
+
+func write(w http.ResponseWriter, text []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	if !chunked {
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
@@ -132,10 +147,10 @@
 	_, _ = w.Write(text) // fails only if the VM has left
 }
 
-func (s *store) page(prefix, after string) any {
+func (s *store) page(prefix, after string) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	items := []item{}
+	var items []item
 	for _, i := range s.items {
 		if strings.HasPrefix(i.Key, prefix) && i.Key > after {
 			items = append(items, i)
@@ -143,7 +158,19 @@
 	}
 	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
 	more := len(items) > pageItems
-	return map[string]any{"items": items[:min(len(items), pageItems)], "has_more": more, "at": s.revision}
+	return fmt.Appendf(list("items", items[:min(len(items), pageItems)]), `,"has_more":%t,"at":%d}`, more, s.revision)
+}
+
+// list returns the begin of an answer: a field that holds items.
+func list(name string, items []item) []byte {
+	out := fmt.Appendf(nil, `{"%s":[`, name)
+	for i, it := range items {
+		if i > 0 {
+			out = append(out, ',')
+		}
+		out = append(out, it.text...)
+	}
+	return append(out, ']')
 }
 
 func (s *store) watch(w http.ResponseWriter, request *http.Request) {
@@ -155,7 +182,7 @@
 		s.mu.Lock()
 		s.dropHistory()
 		changed, lost, revision := s.changed, after < s.dropped, s.revision
-		events := []item{}
+		var events []item
 		for _, i := range s.history {
 			if i.Revision > after && strings.HasPrefix(i.Key, query.Get("prefix")) {
 				events = append(events, i)
@@ -167,13 +194,13 @@
 			return
 		}
 		if len(events) > 0 {
-			writeJSON(w, map[string]any{"events": events, "at": revision})
+			write(w, fmt.Appendf(list("events", events), `,"at":%d}`, revision))
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			writeJSON(w, map[string]any{"events": events, "at": revision})
+			write(w, fmt.Appendf(list("events", events), `,"at":%d}`, revision))
 			return
 		case <-request.Context().Done():
 			return
--- a/review/rig/vm.go
+++ b/review/rig/vm.go
@@ -43,7 +43,7 @@
 			}
 			ports[j] = address
 		}
-		name := fmt.Sprintf("front-%s-%d", zone, i+1)
+		name := vmName(zone, i)
 		ops := strings.Split(ports[4], ":")
 		seeds = append(seeds, ports[2])
 		out = append(out, &vm{
@@ -69,6 +69,9 @@
 	return out, nil
 }
 
+// vmName returns the name of the VM in a zone.
+func vmName(zone string, i int) string { return fmt.Sprintf("front-%s-%d", zone, i+1) }
+
 // writeSettings writes the settings file as the platform does, from the project's template.
 func (v *vm) writeSettings() error {
 	return os.WriteFile(v.file, []byte(render(v.rig.template, v.fields)), 0o600)
