An empty list of client accounts admits nobody

Cause: NewRouting asked for keys if there was at least one account, and the decoder had one form for an absent and an empty list. Ruled out: a version that VMs had not taken (unknown keys were served too) and evidence that was not asked for; the log line "routing in force" and the status now say whether keys are needed and how many there are, and open_access and api_keys are metrics.

It follows from the version alone, so VMs that start later decide alike.

Fixtures of tests that mean "no keys needed" now say so (OpenAccess), and the audited fixture says that its cold rate is a limit.

--- a/cmd/bluebelldoor/soak_test.go
+++ b/cmd/bluebelldoor/soak_test.go
@@ -34,18 +34,20 @@
 	125: "SIGTERM came before the process had installed its handler",
 }
 
-// keyRevocationDelay, stopWithin and recoverTime are the bounds to check; startVMs
-// writes the first two into the settings.
+// keyRevocationDelay, configWithin, stopWithin and recoverTime are the bounds to check;
+// startVMs writes the first three into the settings.
 const (
 	soakVMs            = 4
 	soakCallersPerVM   = 3
 	largeSoakVMs       = 24
 	keyRevocationDelay = 2 * time.Second
+	configWithin       = 2 * time.Second
 	stopWithin         = 4 * time.Second
 	recoverTime        = 12 * time.Second
 	soakHost           = "api.example"
 	firstKey           = "key-1"
 	secondKey          = "key-2"
+	strangerKey        = "key-3" // in no version of the routing
 	soakDeadline       = 3 * time.Second
 	// vmMegabytes is the memory of the smallest VM of the deployments.
 	vmMegabytes = 112
@@ -79,6 +81,9 @@
 	retryAfter    time.Duration
 }
 
+// lockout is a time in which the routing held no API key.
+type lockout struct{ from, to time.Time }
+
 // soak is the run of one seed.
 type soak struct {
 	t      *testing.T
@@ -92,6 +97,9 @@
 	copied        *lender.Copy
 	copiedAt      time.Time
 
+	// lockoutRandom chooses when a version without any API key is in force.
+	lockoutRandom *rand.Rand
+
 	// planned is set if all faults are planned work: no accepted request may be lost.
 	planned bool
 	// vmCount is the number of VMs.
@@ -109,6 +117,7 @@
 	outcomes           []outcome
 	version            int
 	secondKeyRevokedAt time.Time
+	lockouts           []lockout
 	targetsAdded       int
 	// stopped are the IDs of the targets that have stopped.
 	stopped []string
@@ -131,7 +140,7 @@
 func newSoak(t *testing.T, seed uint64) *soak {
 	store, stopStore := lender.NewStore()
 	t.Cleanup(stopStore)
-	s := &soak{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(seed, 99)), limitRandom: rand.New(rand.NewPCG(seed, 98)), restoreRandom: rand.New(rand.NewPCG(seed, 97)), store: store, targetSet: lender.NewCluster(store), planned: seed%4 == 3, vmCount: soakVMs}
+	s := &soak{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(seed, 99)), limitRandom: rand.New(rand.NewPCG(seed, 98)), restoreRandom: rand.New(rand.NewPCG(seed, 97)), lockoutRandom: rand.New(rand.NewPCG(seed, 96)), store: store, targetSet: lender.NewCluster(store), planned: seed%4 == 3, vmCount: soakVMs}
 	if logDir := os.Getenv("BLUEBELLDOOR_SOAK_LOGS"); logDir != "" {
 		s.dir = filepath.Join(logDir, strings.ReplaceAll(t.Name(), "/", "-"), fmt.Sprint(seed))
 		assert.NilError(t, os.MkdirAll(s.dir, 0o755))
@@ -158,8 +167,10 @@
 	}
 	for i := range s.vmCount * soakCallersPerVM {
 		r := rand.New(rand.NewPCG(seed, uint64(i)))
-		callers.Go(func() { s.runCaller(ctx, i, r) })
+		callers.Go(func() { s.runCaller(ctx, fmt.Sprintf("c%d", i), r, firstKey, secondKey) })
 	}
+	r := rand.New(rand.NewPCG(seed, 95))
+	callers.Go(func() { s.runCaller(ctx, "stranger", r, strangerKey) })
 	if s.planned {
 		s.injectPlanned(time.Now().Add(*soakTime))
 	} else {
@@ -191,9 +202,11 @@
 		}
 		return r
 	}
-	accounts := []any{map[string]any{"name": "account", "api_keys": keys}}
+	accounts := []any{}
+	if !s.accountPerKey && len(keys) > 0 {
+		accounts = append(accounts, map[string]any{"name": "account", "api_keys": keys})
+	}
 	if s.accountPerKey {
-		accounts = nil
 		for i, key := range keys {
 			accounts = append(accounts, map[string]any{"name": fmt.Sprintf("account-%d", i), "api_keys": []string{key}})
 		}
@@ -259,7 +272,7 @@
 			"name": v.name, "dataCentre": dataCentre(i), "callerAddress": v.caller, "readyAddress": v.ready,
 			"directoryAddress": v.directory, "peerAddress": peer, "opsAddress": v.ops, "catalogue": l.Address(),
 			"seeds": seeds[:min(len(seeds), 3)], "memoryMegabytes": vmMegabytes * memoryFactor, "cpuShare": 1, "cores": 1, "stopWithin": stopWithin.String(),
-			"addressValidFor": "500ms", "keyEvidence": keyRevocationDelay.String(), "newsWithin": "2s", "retryWindow": retryWindow.String(), "retryRatio": retryRatio, "retryAllowance": retryAllowance,
+			"addressValidFor": "500ms", "keyEvidence": keyRevocationDelay.String(), "newsWithin": configWithin.String(), "retryWindow": retryWindow.String(), "retryRatio": retryRatio, "retryAllowance": retryAllowance,
 			"coldFactor": 1.5, "coldAllowance": 5,
 		})
 		assert.NilError(s.t, err)
--- a/cmd/bluebelldoor/soakcallers_test.go
+++ b/cmd/bluebelldoor/soakcallers_test.go
@@ -16,7 +16,7 @@
 
 // runCaller sends requests as one caller, which keeps its connection until it
 // breaks and then gets another address from the directory.
-func (s *soak) runCaller(ctx context.Context, caller int, r *rand.Rand) {
+func (s *soak) runCaller(ctx context.Context, caller string, r *rand.Rand, keys ...string) {
 	var conn *connection
 	for n := 0; ctx.Err() == nil; n++ {
 		if conn == nil {
@@ -27,8 +27,7 @@
 			}
 		}
 		path := []string{"safe", "unsafe", "stream", "resume"}[r.IntN(4)]
-		key := []string{firstKey, secondKey}[r.IntN(2)]
-		o := s.send(conn, conn.address, path, fmt.Sprintf("c%d-%d", caller, n), key, soakDeadline)
+		o := s.send(conn, conn.address, path, fmt.Sprintf("%s-%d", caller, n), keys[r.IntN(len(keys))], soakDeadline)
 		s.mu.Lock()
 		s.outcomes = append(s.outcomes, o)
 		s.mu.Unlock()
@@ -37,6 +36,9 @@
 			conn = nil
 		}
 		time.Sleep(o.retryAfter)
+		if o.status == http.StatusUnauthorized {
+			time.Sleep(20 * time.Millisecond) // lest refusals take the processor from the other callers
+		}
 	}
 }
 
--- a/cmd/bluebelldoor/soakchecks_test.go
+++ b/cmd/bluebelldoor/soakchecks_test.go
@@ -18,7 +18,7 @@
 	counts, owed := map[int]int{}, 0
 	for _, o := range s.outcomes {
 		counts[o.status]++
-		if o.status != 401 || o.key != secondKey || s.secondKeyRevokedAt.IsZero() || o.sent.Before(s.secondKeyRevokedAt) {
+		if o.key != strangerKey && !s.mayBeUnauthorized(o) {
 			owed++
 		}
 		if err := s.violation(o); err != nil {
@@ -29,6 +29,31 @@
 	assert.Check(s.t, counts[200] > owed/4, "less than a quarter of the %d requests with a valid key succeeded", owed)
 }
 
+// mayBeUnauthorized reports whether a version that may have been in force for a request did
+// not hold its API key.
+func (s *soak) mayBeUnauthorized(o outcome) bool {
+	if o.status != 401 {
+		return false
+	}
+	for _, l := range s.lockouts {
+		if !o.sent.Before(l.from) && o.sent.Before(l.to.Add(configWithin)) {
+			return true
+		}
+	}
+	return o.key == secondKey && !s.secondKeyRevokedAt.IsZero() && !o.sent.Before(s.secondKeyRevokedAt)
+}
+
+// isLockedOut reports whether a request was sent so long after a version without any API key,
+// and before the next version, that no VM may run it.
+func (s *soak) isLockedOut(o outcome) bool {
+	for _, l := range s.lockouts {
+		if o.sent.After(l.from.Add(keyRevocationDelay)) && o.sent.Before(l.to) {
+			return true
+		}
+	}
+	return false
+}
+
 // violation returns the guarantee that an outcome violates, if any.
 func (s *soak) violation(o outcome) error {
 	runs := s.targetSet.Executions(o.id)
@@ -122,6 +147,10 @@
 // checkRun checks that a target executed the caller's request, under a valid key.
 func (s *soak) checkRun(o outcome, r lender.Execution) error {
 	switch {
+	case o.key == strangerKey:
+		return errors.New("executed with an API key that no version held")
+	case s.isLockedOut(o):
+		return errors.New("executed although no version in force held an API key")
 	case r.Header.Get("Authorization") != "" || r.Header.Get("Tenant") != "account":
 		return errors.New("the API key was forwarded, or the account is wrong")
 	case r.Body != "body" || r.Path != "/"+o.path+"/x":
--- a/cmd/bluebelldoor/soakfaults_test.go
+++ b/cmd/bluebelldoor/soakfaults_test.go
@@ -57,7 +57,12 @@
 // signals, changed settings, new versions of the routing, and targets that leave.
 func (s *soak) injectPlanned(until time.Time) {
 	var pending sync.WaitGroup
+	lockoutAt := time.Now().Add(time.Duration(s.lockoutRandom.Int64N(int64(time.Until(until)))))
 	for time.Now().Before(until) {
+		if time.Now().After(lockoutAt) {
+			lockoutAt = until
+			s.lockOut()
+		}
 		v := s.vms[s.random.IntN(len(s.vms))]
 		switch s.random.IntN(5) {
 		case 0:
@@ -74,6 +79,19 @@
 	pending.Wait()
 }
 
+// lockOut takes all API keys away for some time. Nothing else happens meanwhile, as another
+// version would end it.
+func (s *soak) lockOut() {
+	l := lockout{from: time.Now()}
+	s.configure()
+	time.Sleep(keyRevocationDelay + time.Second)
+	l.to = time.Now()
+	s.configure(firstKey, secondKey)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lockouts = append(s.lockouts, l)
+}
+
 // restoreStore sometimes takes a copy of the store, or returns the store to it after a
 // moment without answers. What was lost is written again a little later.
 func (s *soak) restoreStore(inBackground func(func())) {
--- a/document.go
+++ b/document.go
@@ -207,6 +207,9 @@
 	WarmAfter int
 }
 
+// emptyKeySHA256 is the digest of the API key of a caller that sends none.
+const emptyKeySHA256 = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
+
 // DocumentSpec holds the parts of a document.
 type DocumentSpec struct {
 	Revision    uint64
@@ -243,6 +246,7 @@
 		services:    index(spec.Services, (*Service).Name),
 		models:      map[string][]*Target{},
 	}
+	delete(d.byKey, emptyKeySHA256) // a caller that sends no key does not hold it
 	for _, m := range spec.Models {
 		d.models[m] = nil
 	}
--- a/process/recorder/relaymetrics.go
+++ b/process/recorder/relaymetrics.go
@@ -119,6 +119,10 @@
 // Gauges are current values of a VM's state.
 type Gauges struct {
 	RoutingVersion float64
+	// OpenAccess is 1 if the routing in force has no list of client accounts.
+	OpenAccess float64
+	// APIKeys counts the API keys that client accounts hold.
+	APIKeys float64
 	// PlatformEra increases when the platform's store returns from an older copy.
 	PlatformEra float64
 	// EvidenceAgeSeconds is the age of the evidence that the VM's view was current, or
@@ -166,6 +170,8 @@
 	}{
 		"platform_era":         {"Era of the platform's store that the VM holds; it increases when the store returns from an older copy.", func(g Gauges) float64 { return g.PlatformEra }},
 		"routing_version":      {"Version of the routing in force.", func(g Gauges) float64 { return g.RoutingVersion }},
+		"open_access":          {"1 if the routing in force has no list of client accounts, so that callers need no API key.", func(g Gauges) float64 { return g.OpenAccess }},
+		"api_keys":             {"API keys that client accounts hold under the routing in force.", func(g Gauges) float64 { return g.APIKeys }},
 		"evidence_age_seconds": {"Age of the proof that what the VM holds was the newest, below 0 if there is none.", func(g Gauges) float64 { return g.EvidenceAgeSeconds }},
 		"members":              {"VMs that are alive.", func(g Gauges) float64 { return g.Members }},
 		"hubs":                 {"VMs that serve callers.", func(g Gauges) float64 { return g.Hubs }},
--- a/process/registrar/book.go
+++ b/process/registrar/book.go
@@ -370,7 +370,7 @@
 	if s.routing != nil && routing.Version() <= s.routing.Version() {
 		return false
 	}
-	s.log.Info("routing in force", "version", routing.Version())
+	s.log.Info("routing in force", "version", routing.Version(), "needsKey", routing.NeedsAPIKey(), "keys", routing.APIKeys())
 	s.routing, s.routingRecord = routing, r
 	return true
 }
--- a/process/runner/relay_test.go
+++ b/process/runner/relay_test.go
@@ -457,3 +457,57 @@
 		assert.Assert(t, got.header.Get("Retry-After") != "")
 	}
 }
+
+// TestRelayNoAccounts guards against a fleet, or a VM that starts later, that serves everybody
+// once the list of client accounts is empty or null.
+func TestRelayNoAccounts(t *testing.T) {
+	f := startRelays(t, 3)
+	app := f.targets.Add("app-1", "app", "dc-0")
+	defer app.Stop()
+	f.awaitTargets(t)
+	accounts := configuration(1, testKey)["tenants"]
+	version := 1
+	put := func(value any, isSet bool) {
+		version++
+		c := configuration(version)
+		if c["tenants"] = value; !isSet {
+			delete(c, "tenants")
+		}
+		f.store.Put("op/config", c)
+	}
+	for _, c := range []struct {
+		name  string
+		value any
+		isSet bool
+		want  int // the status of a request with an unknown key
+	}{
+		{"an empty list", []any{}, true, 401},
+		{"null", nil, true, 401},
+		{"a list", accounts, true, 401},
+		{"no list", nil, false, 200},
+		{"an empty list again", []any{}, true, 401},
+	} {
+		put(c.value, c.isSet)
+		for i, r := range f.vms {
+			await(t, "the version is in force", func() bool { return r.Status().RoutingVersion == uint64(version) })
+			for _, key := range []string{"Bearer " + testKey, "Bearer unknown", ""} {
+				id := fmt.Sprintf("%d-%d-%s", version, i, key)
+				got := r.send(t, "POST", unsafePath+"x", id, map[string]string{"Authorization": key})
+				want := c.want
+				if c.name == "a list" && key == "Bearer "+testKey {
+					want = 200
+				}
+				assert.Equal(t, got.status, want, "%s, key %q", c.name, key)
+				assert.Equal(t, len(f.targets.Executions(id)) > 0, want == 200)
+			}
+			assert.Equal(t, r.send(t, "GET", "/public/x", fmt.Sprintf("public-%d-%d", version, i), nil).status, 200, c.name)
+		}
+	}
+	last := f.vms[2]
+	last.stop()
+	f.startVM(t, last)
+	await(t, "a VM that starts later knows the version", func() bool { return last.Status().RoutingVersion == uint64(version) })
+	got := last.send(t, "POST", unsafePath+"x", "later", nil)
+	assert.Equal(t, got.status, 401)
+	assert.Equal(t, len(f.targets.Executions("later")), 0)
+}
--- a/process/runner/relaystatus.go
+++ b/process/runner/relaystatus.go
@@ -11,6 +11,9 @@
 	Serves bool `json:"serves"`
 	// RoutingVersion is the version of the routing in force, 0 before the first.
 	RoutingVersion uint64 `json:"routingVersion"`
+	// NeedsAPIKey is set if callers of routes that are not public need one of the APIKeys keys.
+	NeedsAPIKey bool `json:"needsKey"`
+	APIKeys     int  `json:"keys"`
 	// Era and Revision are the position of the platform's records that the VM holds.
 	Era      uint64 `json:"era"`
 	Revision uint64 `json:"revision"`
@@ -40,7 +43,7 @@
 		Behind: r.registrar.IsBehind(),
 	}
 	if routing := r.registrar.View().Routing(); routing != nil {
-		s.RoutingVersion = routing.Version()
+		s.RoutingVersion, s.NeedsAPIKey, s.APIKeys = routing.Version(), routing.NeedsAPIKey(), routing.APIKeys()
 	}
 	if age, ok := r.registrar.EvidenceAge(); ok {
 		s.EvidenceAgeMs = age.Milliseconds()
@@ -62,11 +65,16 @@
 	if s.Behind {
 		behind = 1
 	}
+	openAccess := 0.0
+	if s.RoutingVersion > 0 && !s.NeedsAPIKey {
+		openAccess = 1
+	}
 	shares := r.relayer.AccountShares()
 	return recorder.Gauges{
 		Accounts: float64(shares.Accounts), LargestAccountShare: shares.LargestShare, OvertakenServed: float64(shares.OvertakenServed),
 		Behind: behind, FailedExchanges: float64(r.gossiper.FailedExchanges()),
 		ValueBytesSent: float64(r.values.Sent()), ValueBytesReceived: float64(r.values.Received()),
+		OpenAccess: openAccess, APIKeys: float64(s.APIKeys),
 		RoutingVersion: float64(s.RoutingVersion), PlatformEra: float64(s.Era), EvidenceAgeSeconds: float64(s.EvidenceAgeMs) / 1000,
 		Members: float64(len(s.Members)), Hubs: float64(len(s.Hubs)), Requests: float64(s.Requests),
 		HeadroomTokens: float64(headroom.Tokens), HeadroomTargets: float64(headroom.Targets), ReservedTokens: float64(headroom.Reserved),
--- a/request/relayer/admit.go
+++ b/request/relayer/admit.go
@@ -45,7 +45,9 @@
 		return bluebelldoor.NewRefusal(bluebelldoor.Draining, "this VM is leaving").WithRetryAfter(defaultRetryAfter / 10)
 	}
 	j.setDeadline()
-	j.serviceName = pickService(j.route.Shares)
+	if j.serviceName = pickService(j.route.Shares); j.serviceName == "" {
+		return bluebelldoor.NewRefusal(bluebelldoor.NoTarget, "the route names no service with a weight").WithRetryAfter(defaultRetryAfter)
+	}
 	j.service = routing.Service(j.serviceName)
 	if j.service == nil {
 		j.service = &bluebelldoor.ServiceKind{Name: j.serviceName}
@@ -78,14 +80,15 @@
 	}
 }
 
-// pickService chooses a service at random by the weights of the shares.
+// pickService chooses a service at random by the weights of the shares. It returns "" if none
+// has a weight.
 func pickService(shares []bluebelldoor.ServiceShare) string {
 	total := 0
 	for _, s := range shares {
 		total += max(0, s.Weight)
 	}
 	if total == 0 {
-		return shares[0].Service
+		return ""
 	}
 	n := rand.IntN(total)
 	for _, s := range shares {
@@ -93,7 +96,7 @@
 			return s.Service
 		}
 	}
-	return shares[0].Service
+	return ""
 }
 
 // permit is the last check before bytes are sent to a target.
--- a/request/relayer/admit_test.go
+++ b/request/relayer/admit_test.go
@@ -47,7 +47,7 @@
 // TestBehind guards against a VM that goes on serving under a routing although it knows that
 // a newer one was published longer ago than a change may take.
 func TestBehind(t *testing.T) {
-	routing := bluebelldoor.RoutingSpec{Version: 4, Routes: []bluebelldoor.RouteSpec{{Name: "r", Host: "h", Prefix: "/", Shares: []bluebelldoor.ServiceShare{{Service: "s", Weight: 1}}}}}
+	routing := bluebelldoor.RoutingSpec{Version: 4, Routes: []bluebelldoor.RouteSpec{{Name: "r", Host: "h", Prefix: "/", Shares: []bluebelldoor.ServiceShare{{Service: "s", Weight: 1}}}}, OpenAccess: true}
 	for name, c := range map[string]struct {
 		behind bool
 		age    time.Duration
@@ -181,7 +181,7 @@
 	accounts := []bluebelldoor.AccountKeys{{Account: "a", Keys: []string{"k"}}}
 	rekeyed := []bluebelldoor.AccountKeys{{Account: "b", Keys: []string{"k"}}}
 	spec := func(accounts []bluebelldoor.AccountKeys, routes ...bluebelldoor.RouteSpec) bluebelldoor.RoutingSpec {
-		return bluebelldoor.RoutingSpec{Version: 1, Routes: routes, Accounts: accounts}
+		return bluebelldoor.RoutingSpec{Version: 1, Routes: routes, Accounts: accounts, OpenAccess: accounts == nil}
 	}
 	for name, c := range map[string]struct {
 		before, after bluebelldoor.RoutingSpec
@@ -192,6 +192,7 @@
 		"route removed":        {spec(accounts, route), spec(accounts), "k", errNotPermitted},
 		"route moved":          {spec(accounts, route), spec(accounts, moved), "k", errNotPermitted},
 		"key withdrawn":        {spec(accounts, route), spec(rekeyed[:0], route), "k", errNotPermitted},
+		"no keys, then none":   {spec(nil, route), spec(rekeyed[:0], route), "", errNotPermitted},
 		"key of another":       {spec(accounts, route), spec(rekeyed, route), "k", errNotPermitted},
 		"public, still":        {spec(accounts, public), spec(accounts, public), "", nil},
 		"public, then not":     {spec(accounts, public), spec(accounts, route), "", errNotPermitted},
--- a/request/relayer/place.go
+++ b/request/relayer/place.go
@@ -29,7 +29,7 @@
 	}
 	d.SlowStart = j.slowStart()
 	d.Backfills = j.isUrgent() && !d.Long
-	if j.service.ColdPerSecond > 0 {
+	if j.service.HasColdLimit {
 		settings := j.settings.Load()
 		d.MaxColdPerSecond = (j.service.ColdPerSecond*settings.ColdFactor + settings.ColdAllowance) * coldRateMargin * j.sources.Share()
 	}
--- a/routing.go
+++ b/routing.go
@@ -52,9 +52,10 @@
 	HealthPath string
 	// MaxConnections is how many connections a target accepts from all VMs together.
 	MaxConnections int
-	// ColdPerSecond is how many requests per second a cold target can take, 0 if
-	// the targets are never cold.
+	// ColdPerSecond is how many requests per second a cold target can take if HasColdLimit is
+	// set. Otherwise requests to cold targets are not limited.
 	ColdPerSecond float64
+	HasColdLimit  bool
 	// ColdFor is how long a target is cold after its start.
 	ColdFor time.Duration
 	// Engine is nil for application runners.
@@ -101,7 +102,10 @@
 	Routes   []RouteSpec
 	Services []ServiceKind
 	Accounts []AccountKeys
-	Limits   CallerLimits
+	// OpenAccess is set if the version has no list of client accounts, not even an empty one:
+	// callers then need no API key. Under an empty list nobody holds a key.
+	OpenAccess bool
+	Limits     CallerLimits
 }
 
 // Routing is one version of the operators' routing, indexed and immutable.
@@ -124,12 +128,14 @@
 		services: map[string]*ServiceKind{},
 		terms:    map[string]ServiceTerms{},
 		byKey:    map[string]*AccountKeys{},
-		needsKey: len(spec.Accounts) > 0,
+		needsKey: !spec.OpenAccess || len(spec.Accounts) > 0,
 	}
 	generating := map[string][]*RouteSpec{}
 	for i := range spec.Routes {
 		route := &spec.Routes[i]
-		r.byHost[route.Host] = append(r.byHost[route.Host], route)
+		if route.Prefix != "" { // would match every path
+			r.byHost[route.Host] = append(r.byHost[route.Host], route)
+		}
 		for _, share := range route.Shares {
 			if route.Generates && share.Weight > 0 {
 				generating[share.Service] = append(generating[share.Service], route)
@@ -147,7 +153,9 @@
 	}
 	for i := range spec.Accounts {
 		for _, key := range spec.Accounts[i].Keys {
-			r.byKey[key] = &spec.Accounts[i]
+			if key != "" { // a caller that sends no key does not hold it
+				r.byKey[key] = &spec.Accounts[i]
+			}
 		}
 	}
 	return r
@@ -162,6 +170,9 @@
 // NeedsAPIKey reports whether callers of routes that are not public need an API key.
 func (r *Routing) NeedsAPIKey() bool { return r.needsKey }
 
+// APIKeys returns the number of API keys that client accounts hold.
+func (r *Routing) APIKeys() int { return len(r.byKey) }
+
 // Route returns the route of host with the longest matching prefix of path, nil
 // if there is none.
 func (r *Routing) Route(host, path string) *RouteSpec {
--- a/version/auditor/audit_test.go
+++ b/version/auditor/audit_test.go
@@ -35,7 +35,7 @@
 		},
 		Services: []bluebelldoor.ServiceKind{
 			{
-				Name: "engines", HealthPath: "/health", MaxConnections: 232, ColdPerSecond: 35, ColdFor: time.Second,
+				Name: "engines", HealthPath: "/health", MaxConnections: 232, ColdPerSecond: 35, HasColdLimit: true, ColdFor: time.Second,
 				Engine: &bluebelldoor.EngineKind{Slots: 24, MemoryTokens: 26_856, BytesPerToken: 1000, LinkBytesPerSecond: 3e9, TokensPerEvent: 4, CanCopy: true},
 			},
 			{Name: "desk", HealthPath: "/health", MaxConnections: 96},
--- a/version/auditor/compare.go
+++ b/version/auditor/compare.go
@@ -39,7 +39,7 @@
 // compared with each other.
 func Compare(spec, inForce *bluebelldoor.RoutingSpec) []Difference {
 	c := &comparison{}
-	c.fields("", "", []field{{"version", spec.Version}}, []field{{"version", inForce.Version}})
+	c.fields("", "", routingFields(spec), routingFields(inForce))
 	entries(c, "routes", spec.Routes, inForce.Routes, func(r *bluebelldoor.RouteSpec) string { return r.Name }, routeFields)
 	entries(c, "services", spec.Services, inForce.Services, func(s *bluebelldoor.ServiceKind) string { return s.Name }, serviceFields)
 	entries(c, "accounts", spec.Accounts, inForce.Accounts, func(a *bluebelldoor.AccountKeys) string { return a.Account }, accountFields)
@@ -161,6 +161,10 @@
 	}
 }
 
+func routingFields(s *bluebelldoor.RoutingSpec) []field {
+	return []field{{"version", s.Version}, {"openAccess", s.OpenAccess}}
+}
+
 func routeFields(r *bluebelldoor.RouteSpec) []field {
 	shares := make([]string, len(r.Shares))
 	for i, s := range r.Shares {
@@ -187,9 +191,11 @@
 	fields := []field{
 		{"healthPath", s.HealthPath},
 		{"maxConnections", s.MaxConnections},
-		{"coldPerSecond", s.ColdPerSecond},
 		{"coldFor", s.ColdFor},
 	}
+	if s.HasColdLimit {
+		fields = append(fields, field{"coldPerSecond", s.ColdPerSecond})
+	}
 	if e := s.Engine; e != nil {
 		fields = append(fields,
 			field{"engine.slots", e.Slots},
