--- a/cmd/bluebelldoor/deadly_test.go
+++ b/cmd/bluebelldoor/deadly_test.go
@@ -145,7 +145,7 @@
 
 // start starts the targets and the VMs.
 func (r *deadlyRun) start(t *testing.T) {
-	r.vmCount, r.accountPerKey = deadlyVMs, len(r.c.keys) > 1
+	r.vmCount, r.accountPerKey, r.stood = deadlyVMs, len(r.c.keys) > 1, map[*soakVM][]standstill{}
 	r.configure(firstKey, secondKey)
 	service := "engine"
 	if r.c.forApplications() {
@@ -240,7 +240,6 @@
 
 // disturbVMs begins the disturbances of VMs.
 func (r *deadlyRun) disturbVMs(callers *sync.WaitGroup) {
-	r.stood = map[*soakVM][]standstill{}
 	if r.c.killVMs {
 		callers.Go(r.killVMs)
 	}
--- a/process/noticer/noticer_test.go
+++ b/process/noticer/noticer_test.go
@@ -1,6 +1,7 @@
 package noticer_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,10 +14,12 @@
 // testClock is the clock of the test's bubble, ahead by the time in which the VM was suspended.
 type testClock struct {
 	start     time.Time
-	suspended *time.Duration
+	suspended *atomic.Int64
 }
 
-func (c testClock) Now() time.Duration { return time.Since(c.start) + *c.suspended }
+func (c testClock) Now() time.Duration {
+	return time.Since(c.start) + time.Duration(c.suspended.Load())
+}
 
 // TestEarliest guards against a time of notice that is taken for the time of the event though
 // the VM stood still in between.
@@ -37,7 +40,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				var suspended time.Duration
+				var suspended atomic.Int64
 				clock := testClock{time.Now(), &suspended}
 				n, stop := noticer.New(clock)
 				defer stop()
@@ -48,7 +51,7 @@
 						time.Sleep(200 * ms)
 						synctest.Wait()
 					}
-					suspended += s
+					suspended.Add(int64(s))
 				}
 				time.Sleep(c.after)
 				synctest.Wait()
