--- a/review/rig-3/lateanswer.go
+++ b/review/rig-3/lateanswer.go
@@ -125,7 +125,7 @@
 		}
 		runners = append(runners, r)
 	}
-	vms, err := newFleet(e, store, 2*zones)
+	vms, err := newFleet(e, store)
 	if err != nil {
 		return false, err
 	}
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]caseFunc{
 	"restored-key": runRestoredKey,
 	"late-answer":  runLateAnswer,
+	"engine-crash": runEngineCrash,
 	"shorter-stop": runShorterStop,
 }
 
