--- a/review/rig-3/enginecrash.go
+++ b/review/rig-3/enginecrash.go
@@ -60,7 +60,7 @@
 		e.onExit(t.Stop)
 		all = append(all, t)
 	}
-	vms, err := newFleet(e, store)
+	vms, err := newFleet(e, store, 2*zones, bounds)
 	if err != nil {
 		return false, err
 	}
--- a/review/rig-3/fleet.go
+++ b/review/rig-3/fleet.go
@@ -48,11 +48,11 @@
 	exited chan struct{}
 }
 
-// newFleet starts two VMs a zone before a store and waits until all are ready.
-func newFleet(e *environment, store *lender.Store) ([]*vm, error) {
+// newFleet starts n VMs before a store and waits until all are ready.
+func newFleet(e *environment, store *lender.Store, n int, bounds map[string]string) ([]*vm, error) {
 	var vms []*vm
 	var seeds []string
-	for i := range 2 * zones {
+	for i := range n {
 		v := &vm{e: e, name: fmt.Sprintf("vm-%d", i), settings: filepath.Join(e.dir, fmt.Sprintf("vm-%d.settings", i))}
 		for _, address := range []*string{&v.front, &v.ready, &v.directory, &v.control, &v.ops} {
 			var err error
--- a/review/rig-3/lateanswer.go
+++ b/review/rig-3/lateanswer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -24,13 +25,22 @@
 	id     string
 	faulty bool
 	// work is how long it works on a request.
-	work    time.Duration
-	mu      sync.Mutex
-	answers int
+	work time.Duration
+	// failEvery is how rarely it fails a request, 0 for never.
+	failEvery int
+	mu        sync.Mutex
+	answers   int
 	// given are the statuses that it gave to attempts, and spoiled those after whose answer it
 	// wrote a further one.
 	given   map[string]int
 	spoiled map[string]bool
+	arrived []arrival
+}
+
+// arrival is that of an attempt at a runner.
+type arrival struct {
+	id string
+	at time.Time
 }
 
 // newRawRunner starts a runner and registers it.
@@ -95,9 +105,20 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.answers++
-	r.given[id] = http.StatusOK
+	r.arrived = append(r.arrived, arrival{id, time.Now()})
+	status := http.StatusOK
+	if r.failEvery > 0 && r.answers%r.failEvery == 0 {
+		status = http.StatusInternalServerError
+	}
+	r.given[id] = status
 	r.spoiled[id] = r.faulty && r.e.trouble && r.answers%spoilEvery == 0
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: stamp-%s\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", id, r.id, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\nServer-Stamp: stamp-%s\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), id, r.id, len(body), body)
+}
+
+func (r *rawRunner) arrivals() []arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.arrived)
 }
 
 func (r *rawRunner) isSpoiled(id string) bool {
@@ -125,7 +146,7 @@
 		}
 		runners = append(runners, r)
 	}
-	vms, err := newFleet(e, store)
+	vms, err := newFleet(e, store, 2*zones, bounds)
 	if err != nil {
 		return false, err
 	}
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -29,7 +29,7 @@
 	"restored-key": runRestoredKey,
 	"late-answer":  runLateAnswer,
 	"engine-crash": runEngineCrash,
-	"shorter-stop": runShorterStop,
+	"late-drain":   runLateDrain,
 }
 
 // environment is what a case runs in.
--- a/review/rig-3/restoredkey.go
+++ b/review/rig-3/restoredkey.go
@@ -54,7 +54,7 @@
 		t := cluster.Add("app-"+zone(i), "app", zone(i))
 		e.onExit(t.Stop)
 	}
-	vms, err := newFleet(e, store)
+	vms, err := newFleet(e, store, 2*zones, bounds)
 	if err != nil {
 		return false, err
 	}
