--- a/review/rig-3/lateanswer.go
+++ b/review/rig-3/lateanswer.go
@@ -17,7 +17,7 @@
 )
 
 // spoilEvery is how rarely a faulty runner spoils an answer: one in so many.
-const spoilEvery = 20
+const spoilEvery = 34
 
 // rawRunner is an application runner that writes its answers itself.
 type rawRunner struct {
