registrar: log what a silence of the platform rests on

Three causes fit the logs: standbys learn the removal too late; they know it, and keep the runner as one whose record lapsed in an outage; or a request that was chosen before is sent after.

The line "platform was silent" did not say whether the VM had asked the platform at all, nor who told it of the answer, and nothing named the targets that are kept. It now has failedReads and source, "target may renew its record" names each target, and platform_outages counts.

Behaviour is unchanged.

--- a/process/recorder/relaymetrics.go
+++ b/process/recorder/relaymetrics.go
@@ -145,6 +145,8 @@
 	FailedExchanges float64
 	// LateMessages counts messages of peers that had waited for long when they were read.
 	LateMessages float64
+	// Outages counts how often the VM has taken the platform to have been away.
+	Outages float64
 	// ValueBytesSent and ValueBytesReceived count the bytes of large values between VMs.
 	ValueBytesSent, ValueBytesReceived float64
 	// BufferedBytes are the bytes of bodies and events that wait until they are complete.
@@ -185,6 +187,7 @@
 		"behind":               {"1 if a newer routing is known than the one in force.", func(g Gauges) float64 { return g.Behind }},
 		"failed_exchanges":     {"Messages to other VMs that were not answered in time, since the start.", func(g Gauges) float64 { return g.FailedExchanges }},
 		"late_messages":        {"Messages of other VMs that had waited for over 0.5 s when they were read, since the start.", func(g Gauges) float64 { return g.LateMessages }},
+		"platform_outages":     {"Times that the platform's store counted as having been away, so that targets whose records were missing stayed in use for a while, since the start.", func(g Gauges) float64 { return g.Outages }},
 		"value_bytes_sent":     {"Bytes of large values sent to other VMs, since the start.", func(g Gauges) float64 { return g.ValueBytesSent }},
 		"value_bytes_received": {"Bytes of large values received from other VMs, since the start.", func(g Gauges) float64 { return g.ValueBytesReceived }},
 		"buffered_bytes":       {"Bytes of bodies and events that wait until they are complete.", func(g Gauges) float64 { return g.BufferedBytes }},
--- a/process/registrar/book.go
+++ b/process/registrar/book.go
@@ -109,7 +109,6 @@
 	s.verifiedAt = now - silence
 	if silence > outageAfter {
 		s.lapseUntil = now + lapseFor
-		s.log.Info("platform was silent", "forMs", silence.Milliseconds(), "lapsedUntilMs", lapseFor.Milliseconds())
 	}
 	changed := s.expireLapsed(now)
 	if p.Era > s.position.Era {
@@ -420,6 +419,7 @@
 		lapsed := *t
 		lapsed.Lapsed = true
 		s.targets[key] = &lapsed
+		s.log.Info("target may renew its record", "target", t.ID, "forMs", (s.lapseUntil - now).Milliseconds())
 		return true
 	}
 	delete(s.targets, key)
--- a/process/registrar/peers.go
+++ b/process/registrar/peers.go
@@ -111,6 +111,7 @@
 	}
 	r.state.missingDelta = nil
 	r.gap.Store(false)
+	r.noteSilence("peer")
 	silence, _ := r.EvidenceAge()
 	r.publish(r.state.apply(bluebelldoor.CatalogueReply{
 		Era:      delta.Era,
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -98,6 +98,9 @@
 	pending atomic.Pointer[pendingValues]
 	// lost is set if the latest reads of the platform failed.
 	lost atomic.Bool
+	// failedReads is nil if the latest read succeeded.
+	failedReads atomic.Pointer[failedReads]
+	outages     atomic.Int64
 	// awaitsRecords is set while the records of a peer's delta are fetched.
 	awaitsRecords atomic.Bool
 	// gap is set if a peer's delta was based on a revision newer than the one held.
@@ -290,6 +293,7 @@
 		case errors.Is(err, bluebelldoor.ErrHistoryLost):
 			r.handleHistoryLost(ctx, &state, err)
 		default:
+			r.noteFailedRead(sentAt)
 			r.handleReadFailure(ctx, &state, err)
 		}
 	}
@@ -309,6 +313,7 @@
 	state.connected, state.full, state.delay, state.failures = true, false, minRetryDelay, 0
 	r.lost.Store(false)
 	r.do(ctx, func() { r.applyReply(reply, sentAt) })
+	r.failedReads.Store(nil)
 }
 
 // retriesLost reports whether it is time for another read although peers renew the evidence.
@@ -405,6 +410,7 @@
 	}
 	r.noteEra(p.Era)
 	r.gap.Store(false)
+	r.noteSilence("platform")
 	silence, _ := r.EvidenceAge()
 	changed := r.state.apply(p, r.clock.Now(), silence)
 	r.publish(changed)
--- a/process/runner/relaystatus.go
+++ b/process/runner/relaystatus.go
@@ -73,6 +73,7 @@
 	return recorder.Gauges{
 		Accounts: float64(shares.Accounts), LargestAccountShare: shares.LargestShare, OvertakenServed: float64(shares.OvertakenServed),
 		Behind: behind, FailedExchanges: float64(r.gossiper.FailedExchanges()), LateMessages: float64(r.gossiper.LateMessages()),
+		Outages:        float64(r.registrar.Outages()),
 		ValueBytesSent: float64(r.values.Sent()), ValueBytesReceived: float64(r.values.Received()),
 		OpenAccess: openAccess, APIKeys: float64(s.APIKeys),
 		RoutingVersion: float64(s.RoutingVersion), PlatformEra: float64(s.Era), EvidenceAgeSeconds: float64(s.EvidenceAgeMs) / 1000,
