registrar: conclude an outage of the platform from failed reads, not from silence

Cause: the age of a VM's evidence stood for an outage of the store. A standby whose hubs are lost does not ask until its evidence is 3 s old; the store, which answered all along, then told it of the removal, and it kept the target for 2.5 s as one whose entry had expired in an outage. Evidence: all 15 VMs logged the silence with no failed read; the late requests that were traced were sent 1.6 to 2.5 s after their VM had logged the removal.

Now a silence is an outage if reads failed in it, two in a row since the newest evidence, on this VM or on a peer, which tells when the outage ended. That says that the store was away; not having asked says nothing. The peer's word also dates the end of the time for renewals, and is noted with a mere confirmation, which used to end the silence unseen. A new era is the store's own word and stays. The age at which a VM reads the store follows from leavingWithin and newsWithin: a constant of 3 s left nothing of a bound of 3 s.

Each rule taken out makes a test fail: failed reads, their dating, two of them, the peer's word, the note at a confirmation, the bound. TestAddAge counts the new age.

--- a/fleet.go
+++ b/fleet.go
@@ -162,6 +162,9 @@
 	// EvidenceAgeMs is the age, when the message is sent, of the proof that
 	// Revision was the platform's newest; negative if there is no proof.
 	EvidenceAgeMs int64 `cbor:"evidenceAgeMs"`
+	// OutageEndAgeMs is the age, when the message is sent, of the end of the latest outage of
+	// the platform that the sender knows of, 0 if there was none lately.
+	OutageEndAgeMs int64 `cbor:"outageEndAge,omitempty"`
 	// WantFull asks for all records: the sender lacks more than recent changes.
 	WantFull bool `cbor:"want"`
 	// Leaving lists the target incarnations that recently announced that they are
@@ -232,6 +235,9 @@
 			}
 		}
 	}
+	if m.Delta.OutageEndAgeMs > 0 {
+		m.Delta.OutageEndAgeMs += ms
+	}
 	if r := m.Delta.Retained; r != nil {
 		r.ForMs = max(0, r.ForMs-ms)
 	}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -38,7 +38,7 @@
 		}
 	}
 	visit(reflect.ValueOf(message).Elem(), "", check)
-	assert.Equal(t, ages, 4)
+	assert.Equal(t, ages, 5)
 	message.AddAge(time.Hour)
 	assert.Equal(t, message.Delta.Retained.ForMs, int64(0))
 }
--- a/process/registrar/book.go
+++ b/process/registrar/book.go
@@ -103,16 +103,17 @@
 	s.closed = append(s.closed, closedTarget{t, reason})
 }
 
-// apply applies a response and reports whether the view changes. silence is the
-// age of the newest evidence of the platform's state, 0 if there was none.
-func (s *state) apply(p bluebelldoor.CatalogueReply, now, silence time.Duration) bool {
-	s.verifiedAt = now - silence
-	if silence > outageAfter {
-		s.lapseUntil = now + lapseFor
-	}
+// beginLapse lets missing records be renewed until lapseFor after a time.
+func (s *state) beginLapse(from time.Duration) { s.lapseUntil = max(s.lapseUntil, from+lapseFor) }
+
+// apply applies a response and reports whether the view changes. verifiedAt is the latest time
+// at which the state is known to have matched the platform's, and returnedAt the begin of the
+// era of the response as far as the VM knows.
+func (s *state) apply(p bluebelldoor.CatalogueReply, now, verifiedAt, returnedAt time.Duration) bool {
+	s.verifiedAt = verifiedAt
 	changed := s.expireLapsed(now)
 	if p.Era > s.position.Era {
-		s.beginEra(now)
+		s.beginEra(now, returnedAt)
 	}
 	taken, dropped := 0, 0
 	for _, r := range s.prepareRecords(p) {
--- a/process/registrar/catalogue_test.go
+++ b/process/registrar/catalogue_test.go
@@ -168,13 +168,21 @@
 	return v
 }
 
+// startStandby starts a VM that is a standby and hears nothing from peers.
+func startStandby(t *testing.T, c bluebelldoor.Catalogue, options ...registrar.Option) *vm {
+	t.Helper()
+	v, stop := startInRole(c, registrar.Role{ReadsForPeers: func() bool { return false }, Standby: func() bool { return true }, Changed: func() {}}, options...)
+	t.Cleanup(stop)
+	return v
+}
+
 func startStoppable(c bluebelldoor.Catalogue, reads bool, options ...registrar.Option) (*vm, func()) {
+	return startInRole(c, registrar.Role{ReadsForPeers: func() bool { return reads }, Standby: func() bool { return false }, Changed: func() {}}, options...)
+}
+
+func startInRole(c bluebelldoor.Catalogue, role registrar.Role, options ...registrar.Option) (*vm, func()) {
 	v := &vm{clock: &fakeClock{start: time.Now()}, lapsed: map[string]bool{}}
-	v.Registrar = registrar.New(c, v.clock, registrar.Role{
-		ReadsForPeers: func() bool { return reads },
-		Standby:       func() bool { return false },
-		Changed:       func() {},
-	}, hclog.NewNullLogger(), options...)
+	v.Registrar = registrar.New(c, v.clock, role, hclog.NewNullLogger(), options...)
 	v.Observe(func(t *registrar.Target) {
 		v.mu.Lock()
 		defer v.mu.Unlock()
--- a/process/registrar/era.go
+++ b/process/registrar/era.go
@@ -60,13 +60,14 @@
 	}
 }
 
-// beginEra prepares the state for the records of a new era.
-func (s *state) beginEra(now time.Duration) {
+// beginEra prepares the state for the records of a new era, in which the platform has answered
+// since returnedAt.
+func (s *state) beginEra(now, returnedAt time.Duration) {
 	if s.position.Revision == 0 {
 		return
 	}
 	s.restoring = true
-	s.lapseUntil = now + lapseFor
+	s.beginLapse(returnedAt)
 	for _, t := range s.targets {
 		if t.Leaving {
 			s.retainLeaving(t.Incarnation(), now)
--- a/process/registrar/fleet_test.go
+++ b/process/registrar/fleet_test.go
@@ -31,6 +31,8 @@
 	smallLink = 10e6 / 8
 	largeLink = 200e6 / 8
 	storeLink = 1000e6 / 8
+	// storeTimeout is the time after which a VM gives up a read of the store.
+	storeTimeout = 800 * time.Millisecond
 )
 
 var errNoPath = errors.New("no path")
@@ -95,8 +97,10 @@
 	up, down  *fleetLink
 	startedAt time.Time
 	dead      atomic.Bool
-	// turnedAway is set if the store does not answer the VM.
-	turnedAway atomic.Bool
+	// turnedAway is set if the store does not answer the VM, and isolated if no peer does.
+	turnedAway, isolated atomic.Bool
+	// stoppedUntil is until when the process stands still, in Unix milliseconds.
+	stoppedUntil atomic.Int64
 	// reads counts the calls that the store has answered.
 	reads atomic.Int64
 	stop  func()
@@ -109,6 +113,9 @@
 	storeUplink *fleetLink
 	clock       *fakeClock
 	seeds       []string
+	options     []registrar.Option
+	// hangs is set if the store does not answer until the time-out of a read.
+	hangs atomic.Bool
 
 	mu  sync.Mutex
 	vms map[string]*fleetVM
@@ -148,7 +155,7 @@
 		ReadsForPeers: func() bool { return v.gossip.ReadsPlatform() },
 		Standby:       func() bool { return !v.gossip.IsHub() },
 		Changed:       func() { v.gossip.Trigger() },
-	}, hclog.NewNullLogger(), registrar.WithValues(v.values))
+	}, hclog.NewNullLogger(), append([]registrar.Option{registrar.WithValues(v.values)}, f.options...)...)
 	v.gossip = gossiper.New(bluebelldoor.MemberState{
 		Name: name, Incarnation: time.Now().UnixMilli(), DataCentre: fmt.Sprintf("dc%d", dataCentre), PeerAddress: name, CapacityCores: cores,
 	}, f.seeds, f.clock, fleetPeers{v}, gossiper.Hooks{
@@ -176,6 +183,9 @@
 	}
 }
 
+// awaitRunning returns once the process does not stand still.
+func (v *fleetVM) awaitRunning() { time.Sleep(time.Until(time.UnixMilli(v.stoppedUntil.Load()))) }
+
 func (f *fleet) stopAll() {
 	var done sync.WaitGroup
 	for _, v := range f.all() {
@@ -207,15 +217,19 @@
 	v.fleet.mu.Lock()
 	to := v.fleet.vms[address]
 	v.fleet.mu.Unlock()
-	if to == nil || to.dead.Load() || v.dead.Load() {
+	v.awaitRunning()
+	if to == nil || to.dead.Load() || v.dead.Load() || to.isolated.Load() || v.isolated.Load() {
 		<-ctx.Done()
 		return nil, errNoPath
 	}
 	if err := transfer(ctx, v.up, to.down, size(in)); err != nil {
 		return nil, err
 	}
+	to.awaitRunning()
 	out := handle(to, in)
-	return out, transfer(ctx, to.up, v.down, size(out))
+	err := transfer(ctx, to.up, v.down, size(out))
+	v.awaitRunning()
+	return out, err
 }
 
 // size returns the bytes of a message on the wire.
@@ -261,10 +275,16 @@
 }
 
 func (s linkedStore) receive(ctx context.Context, call func() (bluebelldoor.CatalogueReply, error)) (bluebelldoor.CatalogueReply, error) {
-	if s.turnedAway.Load() {
+	s.awaitRunning()
+	switch {
+	case s.turnedAway.Load():
+		return bluebelldoor.CatalogueReply{}, errNoPath
+	case s.fleet.hangs.Load():
+		time.Sleep(storeTimeout)
 		return bluebelldoor.CatalogueReply{}, errNoPath
 	}
 	out, err := call()
+	s.awaitRunning()
 	if err != nil {
 		return out, err
 	}
--- a/process/registrar/peers.go
+++ b/process/registrar/peers.go
@@ -25,6 +25,7 @@
 		// The evidence is that of the position held, which a shortened delta does not reach.
 		out.EvidenceAgeMs = age.Milliseconds() + 1
 	}
+	out.OutageEndAgeMs = r.outageEndAgeMs()
 	out.Leaving = r.leavingIncarnations()
 	out.WantFull = (position.Revision == 0 || r.gap.Load()) && r.clock.Now()-r.started > fullStateDelay && !r.awaitsRecords.Load()
 	r.carry(&out, references, request)
@@ -72,11 +73,16 @@
 	if isReply && delta.Revision > 0 {
 		r.peerAnswered.Store(true)
 	}
-	if delta.Position().After(r.Position()) {
+	confirmedAt := sentAt - time.Duration(delta.EvidenceAgeMs)*time.Millisecond
+	confirms := func() bool { return isReply && delta.EvidenceAgeMs >= 0 && delta.Position() == r.Position() }
+	switch {
+	case delta.Position().After(r.Position()):
 		r.do(ctx, func() {
 			r.applyRecords(delta)
 			r.wantMissing()
 		})
+	case confirms() && r.silenceBefore(confirmedAt) > outageAfter:
+		r.do(ctx, func() { r.notePeerAnswer(delta, confirmedAt) })
 	}
 	if delta.Routing != nil || delta.Retained != nil {
 		r.do(ctx, func() { r.applyCarried(delta) })
@@ -84,8 +90,8 @@
 	if len(delta.Leaving) > 0 {
 		r.markLeaving(ctx, delta.Leaving)
 	}
-	if isReply && delta.EvidenceAgeMs >= 0 && delta.Position() == r.Position() {
-		r.renewEvidence(sentAt - time.Duration(delta.EvidenceAgeMs)*time.Millisecond)
+	if confirms() {
+		r.renewEvidence(confirmedAt)
 	}
 }
 
@@ -111,15 +117,21 @@
 	}
 	r.state.missingDelta = nil
 	r.gap.Store(false)
-	r.noteSilence("peer")
-	silence, _ := r.EvidenceAge()
-	r.publish(r.state.apply(bluebelldoor.CatalogueReply{
+	now := r.clock.Now()
+	r.notePeerAnswer(delta, now)
+	returnedAt, told := r.outageEnd(delta)
+	if !told {
+		returnedAt = now
+	}
+	changed := r.state.apply(bluebelldoor.CatalogueReply{
 		Era:      delta.Era,
 		Revision: delta.Revision,
 		Full:     base.Revision == 0,
 		Records:  delta.Records,
 		Unseen:   bluebelldoor.Position{Era: delta.UnseenEra, Revision: delta.Unseen},
-	}, r.clock.Now(), silence))
+	}, now, r.verifiedAt(now), returnedAt)
+	r.noteOutageEnd()
+	r.publish(changed)
 }
 
 // applyCarried applies what a peer keeps in force that the catalogue does not show.
@@ -145,8 +157,8 @@
 func (r *Registrar) markLeaving(ctx context.Context, incarnations []bluebelldoor.TargetIncarnation) {
 	r.do(ctx, func() {
 		now, changed := r.clock.Now(), false
-		if age, ok := r.EvidenceAge(); ok {
-			r.state.verifiedAt = now - age
+		if _, ok := r.EvidenceAge(); ok {
+			r.state.verifiedAt = r.verifiedAt(now)
 		}
 		for _, incarnation := range incarnations {
 			changed = r.state.markLeaving(incarnation, now) || changed
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -35,17 +35,17 @@
 	// standbyMaxRetryDelay replaces maxRetryDelay on a standby: platform calls are
 	// billed, and the hubs pass changes on.
 	standbyMaxRetryDelay = 2 * time.Second
-	// staleAfter is the evidence age at which a VM that relies on its peers reads
-	// the platform itself: one watch, one gossip round, and a margin.
-	staleAfter = 1300 * time.Millisecond
-	// standbyStaleAfter replaces staleAfter on a standby, which asks its peers
+	// maxStaleAfter is the greatest evidence age at which a VM that relies on its peers
+	// reads the platform itself: one watch, one gossip round, and a margin.
+	maxStaleAfter = 1300 * time.Millisecond
+	// standbyMaxStaleAfter replaces maxStaleAfter on a standby, which asks its peers
 	// only every third round.
-	standbyStaleAfter = 3 * time.Second
+	standbyMaxStaleAfter = 3 * time.Second
 	// evidenceCheckInterval is how often a VM that relies on its peers checks the
 	// age of its evidence.
 	evidenceCheckInterval = 100 * time.Millisecond
-	// outageAfter is the evidence age from which missing records may reappear:
-	// targets renew theirs about once a second.
+	// outageAfter is how long the platform must have been away before missing records may
+	// reappear: targets renew theirs about once a second.
 	outageAfter = 2500 * time.Millisecond
 	// lapseFor is how long missing records may be renewed after an outage; the
 	// platform's documentation says about two seconds.
@@ -88,7 +88,10 @@
 	state   *state
 	started time.Duration
 	// watchWait is maxWatchWait or less, depending on the VM's settings.
-	watchWait time.Duration
+	watchWait atomic.Int64
+	// maxEvidenceAge is the evidence age at which the VM reads the platform itself at the
+	// latest, 0 if its settings do not bound it.
+	maxEvidenceAge atomic.Int64
 	// values holds and fetches large values, nil if messages hold all values.
 	values bluebelldoor.ValueKeeper
 	// wanted is set if values were missing when last looked. It belongs to the control
@@ -101,6 +104,8 @@
 	// failedReads is nil if the latest read succeeded.
 	failedReads atomic.Pointer[failedReads]
 	outages     atomic.Int64
+	// outageEnded is when the latest outage or restore of the platform ended, 0 for none.
+	outageEnded atomic.Int64
 	// awaitsRecords is set while the records of a peer's delta are fetched.
 	awaitsRecords atomic.Bool
 	// gap is set if a peer's delta was based on a revision newer than the one held.
@@ -136,7 +141,20 @@
 // WithEvidenceValidity shortens watches so that evidence that is valid for d is renewed
 // in time.
 func WithEvidenceValidity(d time.Duration) Option {
-	return func(r *Registrar) { r.watchWait = min(r.watchWait, d/watchesPerEvidence) }
+	return func(r *Registrar) { r.watchWait.Store(int64(min(maxWatchWait, d/watchesPerEvidence))) }
+}
+
+// WithMaxEvidenceAge makes the VM read the platform itself once its evidence is older than d,
+// whatever its peers do, so that it learns what is published in time.
+func WithMaxEvidenceAge(d time.Duration) Option {
+	return func(r *Registrar) { r.maxEvidenceAge.Store(int64(d)) }
+}
+
+// Reload applies changed options. Those that name other parts of the process can't change.
+func (r *Registrar) Reload(options ...Option) {
+	for _, o := range options {
+		o(r)
+	}
 }
 
 // New returns a registrar with an empty view; Start begins reading the platform.
@@ -150,7 +168,7 @@
 		started:     clock.Now(),
 		controlDone: make(chan struct{}),
 	}
-	r.watchWait = maxWatchWait
+	r.watchWait.Store(int64(maxWatchWait))
 	for _, o := range options {
 		o(r)
 	}
@@ -358,11 +376,16 @@
 	}
 }
 
+// staleAfter returns the evidence age at which a VM that relies on its peers reads the platform.
 func (r *Registrar) staleAfter() time.Duration {
+	limit := maxStaleAfter
 	if r.role.Standby() {
-		return standbyStaleAfter
+		limit = standbyMaxStaleAfter
+	}
+	if bound := time.Duration(r.maxEvidenceAge.Load()); bound > 0 {
+		limit = min(limit, bound)
 	}
-	return staleAfter
+	return limit
 }
 
 func (r *Registrar) maxRetryDelay() time.Duration {
@@ -387,7 +410,7 @@
 		reply, err := r.catalogue.Read(ctx)
 		return reply, olderEra(reply, position, err)
 	}
-	reply, err := r.catalogue.Watch(ctx, position, r.watchWait)
+	reply, err := r.catalogue.Watch(ctx, position, time.Duration(r.watchWait.Load()))
 	if err == nil && reply.Era > position.Era {
 		return reply, errors.Wrapf(bluebelldoor.ErrHistoryLost, "platform is in era %d", reply.Era)
 	}
@@ -410,9 +433,10 @@
 	}
 	r.noteEra(p.Era)
 	r.gap.Store(false)
-	r.noteSilence("platform")
-	silence, _ := r.EvidenceAge()
-	changed := r.state.apply(p, r.clock.Now(), silence)
+	now := r.clock.Now()
+	r.noteAnswer("platform", now)
+	changed := r.state.apply(p, now, r.verifiedAt(now), now)
+	r.noteOutageEnd()
 	r.publish(changed)
 	r.wantMissing()
 	if !r.state.position.After(p.Position()) {
@@ -423,6 +447,12 @@
 	}
 }
 
+// verifiedAt returns the latest time at which the state is known to have matched the platform's.
+func (r *Registrar) verifiedAt(now time.Duration) time.Duration {
+	silence, _ := r.EvidenceAge()
+	return now - silence
+}
+
 // noteEra records that the platform is in an era, or in a later one.
 func (r *Registrar) noteEra(era uint64) {
 	for known := r.newestEra.Load(); era > known && !r.newestEra.CompareAndSwap(known, era); {
--- a/process/runner/relay.go
+++ b/process/runner/relay.go
@@ -99,7 +99,7 @@
 		ReadsForPeers: func() bool { return r.gossiper.ReadsPlatform() },
 		Standby:       func() bool { return !r.gossiper.IsHub() },
 		Changed:       func() { r.gossiper.Trigger() },
-	}, log.Named("registrar"), registrar.WithEvidenceValidity(relayerSettings(settings).MaxKeyEvidenceAge), registrar.WithValues(r.values))
+	}, log.Named("registrar"), append(registrarOptions(settings), registrar.WithValues(r.values))...)
 	r.gossiper = gossiper.New(bluebelldoor.MemberState{
 		Name:          settings.Name,
 		Incarnation:   time.Now().UnixMilli(),
@@ -218,6 +218,17 @@
 	}
 }
 
+// registrarOptions returns the options of the registrar that follow from the settings. What a VM
+// learns is too late if its evidence may get as old as the time within which it has to act on it.
+func registrarOptions(s *bluebelldoor.RelaySettings) []registrar.Option {
+	derived := relayerSettings(s)
+	maxAge := derived.MaxViewAge
+	if derived.LeavingGrace > 0 {
+		maxAge = min(maxAge, derived.LeavingGrace)
+	}
+	return []registrar.Option{registrar.WithEvidenceValidity(derived.MaxKeyEvidenceAge), registrar.WithMaxEvidenceAge(maxAge)}
+}
+
 func budgetSettings(s *bluebelldoor.RelaySettings) budgeter.Settings {
 	return budgeter.Settings{Window: s.RetryWindow, Ratio: s.RetryRatio, Allowance: s.RetryAllowance}
 }
@@ -226,6 +237,7 @@
 // Addresses, seeds and the name can't change while the process runs.
 func (r *Relay) Reload(settings *bluebelldoor.RelaySettings) {
 	r.relayer.Reload(relayerSettings(settings))
+	r.registrar.Reload(registrarOptions(settings)...)
 	r.retryBudget.Reload(budgetSettings(settings))
 	r.log.Info("settings in force", "keyEvidence", settings.KeyEvidenceMaxAge.String(), "retryRatio", settings.RetryRatio,
 		"retryAllowance", settings.RetryAllowance, "coldFactor", settings.ColdFactor, "coldAllowance", settings.ColdAllowance)
