exchanger: an early response whose connection breaks is not complete

Callers got a part of an answer as a complete one (MIXED): a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a connection's error once. The goroutine that writes the request took ECONNRESET, and the read that followed found the end of the stream, as after a close in order. Evidence: resets without an upload under way were always seen; with one, the log had "answered" and no "target ended the connection", and the error was in the result of the write, which only the decision on reuse looked at.

Response.Read now ends the write and looks at its error before it reports the end of a response without framing. EPIPE stays in order: the kernel reports it if the target had closed its side before the reset, and all that it sent before has come. This covers buffered and large answers and streams, which share that Read.

Tests, failed before: TestEarlyEndings (six of nine cases), TestRelayEarlyAnswers (unsafe with 3 MB, resumable streams with 1 and 3 MB). Whole early answers, closed in order, stay whole in both. The stand-in's new behaviours EarlyReset and EarlyClose answer before they read, so it chooses its behaviour first.

--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -225,7 +227,7 @@
 		x.putIdle(t, c, 0, request.MaxIdle)
 		return nil, err
 	}
-	response := &Response{ctx: ctx, exchanger: x, target: t, conn: c, maxIdle: request.MaxIdle, writeResult: make(chan error, 1)}
+	response := &Response{ctx: ctx, exchanger: x, target: t, conn: c, maxIdle: request.MaxIdle, written: make(chan struct{})}
 	response.stopWatch = context.AfterFunc(ctx, func() { c.conn.Close() })
 	if err := response.roundTrip(request); err != nil {
 		response.Close()
@@ -248,8 +250,9 @@
 	// stopWatch stops the watch that closes the connection when the request's
 	// context is done. It returns false if the context is already done.
 	stopWatch func() bool
-	// writeResult receives the error of writing the request, or nil.
-	writeResult  chan error
+	// written is closed once the request has been written, or could not be: writeErr.
+	written      chan struct{}
+	writeErr     error
 	maxIdle      int
 	httpResponse *http.Response
 	head         bluebelldoor.ResponseHead
@@ -268,18 +271,15 @@
 	}
 	b.WriteString("\r\n")
 	b.Write(request.Body)
-	write := func() error {
+	write := func() {
+		defer close(r.written)
 		_, err := r.conn.conn.Write(b.Bytes())
-		return errors.Wrap(err, "write request")
+		r.writeErr = errors.Wrap(err, "write request")
 	}
 	if len(request.Body) > largeBodyBytes {
-		go func() { r.writeResult <- write() }()
-	} else {
-		err := write()
-		r.writeResult <- err
-		if err != nil {
-			return err
-		}
+		go write()
+	} else if write(); r.writeErr != nil {
+		return r.writeErr
 	}
 	return r.readHead(request)
 }
@@ -342,13 +342,34 @@
 	if err != io.EOF {
 		return n, err
 	}
-	if r.CloseDelimited() && r.deadlineReached() {
-		return n, errDeadlineClose
+	if r.CloseDelimited() {
+		if r.deadlineReached() {
+			return n, errDeadlineClose
+		}
+		if writeErr := r.endWrite(); writeErr != nil {
+			return n, errors.Wrap(writeErr, "connection ended within a response without framing")
+		}
 	}
 	r.recycle()
 	return n, err
 }
 
+// endWrite ends the writing of the request, and returns the error of the connection that this
+// met, if any. The kernel reports such an error once: if the write got it, the read that follows
+// finds the end of the stream, as if the target had closed in order.
+func (r *Response) endWrite() error {
+	if err := r.conn.conn.SetWriteDeadline(time.Now()); err != nil {
+		return errors.Wrap(err, "end write of request")
+	}
+	<-r.written
+	// A write fails with EPIPE if the target resets the connection after it has closed its
+	// side. All that it sent before the close has come then.
+	if errors.Is(r.writeErr, os.ErrDeadlineExceeded) || errors.Is(r.writeErr, syscall.EPIPE) {
+		return nil
+	}
+	return r.writeErr
+}
+
 // deadlineReached reports whether the target may have ended the response because of the
 // request's deadline.
 func (r *Response) deadlineReached() bool {
@@ -369,8 +390,8 @@
 	}
 	requestSent := false
 	select {
-	case err := <-r.writeResult:
-		requestSent = err == nil
+	case <-r.written:
+		requestSent = r.writeErr == nil
 	default:
 	}
 	reusable := requestSent && !r.discardConn && !r.httpResponse.Close && !r.CloseDelimited() && r.conn.reader.Buffered() == 0
--- a/process/runner/relay_test.go
+++ b/process/runner/relay_test.go
@@ -98,7 +98,7 @@
 			engineService("engine"),
 			engineService("second"),
 		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{map[string]any{"name": "account-1", "api_keys": keys}},
 	}
 }
@@ -221,6 +221,12 @@
 
 // send sends a request to a VM over a new connection.
 func (r *relayVM) send(t *testing.T, method, path, id string, header map[string]string) callerResponse {
+	t.Helper()
+	return r.upload(t, method, path, id, header, "body")
+}
+
+// upload sends a request with a body to a VM over a new connection.
+func (r *relayVM) upload(t *testing.T, method, path, id string, header map[string]string, content string) callerResponse {
 	t.Helper()
 	started := time.Now()
 	conn, err := net.Dial("tcp", r.settings.CallerAddress)
@@ -235,9 +241,9 @@
 		h.Set(k, v)
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 4\r\n", method, path, testHost)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n", method, path, testHost, len(content))
 	assert.NilError(t, h.Write(&b))
-	b.WriteString("\r\nbody")
+	b.WriteString("\r\n" + content)
 	if _, err := io.WriteString(conn, b.String()); err != nil {
 		t.Logf("%s: write: %v", id, err)
 		return callerResponse{}
--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -340,6 +340,10 @@
 }
 
 func (t *Target) handleRequest(w http.ResponseWriter, r *http.Request) {
+	behaviour, retryAfter := t.nextBehaviour(r)
+	if t.answerEarly(w, r, behaviour) {
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -352,7 +356,6 @@
 	if t.recordArrival() {
 		panic(http.ErrAbortHandler)
 	}
-	behaviour, retryAfter := t.nextBehaviour(r)
 	if behaviour == Refuse || behaviour == Pause {
 		refuse(w, retryAfter)
 		return
