--- a/standin/lender/target.go
+++ b/standin/lender/target.go
@@ -48,6 +48,7 @@
 	Body        string
 	Header      http.Header
 	LastEventID string // Last-Event-Id of the request
+	Early       bool   // the target answered before it had read the body, and Body is empty
 	At          time.Time
 }
 
@@ -365,7 +366,7 @@
 		refuse(w, 0)
 		return
 	}
-	execution := t.recordExecution(r, string(body))
+	execution := t.recordExecution(r, string(body), false)
 	w.Header().Set("Server-Stamp", "stamp-"+t.ID)
 	t.withholdAnswer(w, r, behaviour)
 	if t.respondWithStatus(w, behaviour) {
@@ -406,12 +407,12 @@
 }
 
 // recordExecution records that the target executes a request, and returns the execution's name.
-func (t *Target) recordExecution(r *http.Request, body string) string {
+func (t *Target) recordExecution(r *http.Request, body string, early bool) string {
 	t.cluster.mu.Lock()
 	defer t.cluster.mu.Unlock()
 	t.cluster.executions = append(t.cluster.executions, Execution{
 		Target: t.ID, ID: r.Header.Get("Attempt-Id"), Method: r.Method, Path: r.URL.RequestURI(), Body: body,
-		Header: r.Header.Clone(), LastEventID: r.Header.Get("Last-Event-Id"), At: time.Now(),
+		Header: r.Header.Clone(), LastEventID: r.Header.Get("Last-Event-Id"), Early: early, At: time.Now(),
 	})
 	return fmt.Sprintf("run%d", len(t.cluster.executions))
 }
