--- a/process/registrar/book.go
+++ b/process/registrar/book.go
@@ -107,8 +107,8 @@
 func (s *state) beginLapse(from time.Duration) { s.lapseUntil = max(s.lapseUntil, from+lapseFor) }
 
 // apply applies a response and reports whether the view changes. verifiedAt is the latest time
-// at which the state is known to have matched the platform's, and returnedAt the begin of the
-// era of the response as far as the VM knows.
+// at which the state is known to have matched the platform's, and returnedAt since when, as far as
+// the VM knows, the platform has answered in the era of the response.
 func (s *state) apply(p bluebelldoor.CatalogueReply, now, verifiedAt, returnedAt time.Duration) bool {
 	s.verifiedAt = verifiedAt
 	changed := s.expireLapsed(now)
--- a/process/registrar/era.go
+++ b/process/registrar/era.go
@@ -61,7 +61,7 @@
 }
 
 // beginEra prepares the state for the records of a new era, in which the platform has answered
-// since returnedAt.
+// since returnedAt. An era is the store's own word: it has lost records, silent or not.
 func (s *state) beginEra(now, returnedAt time.Duration) {
 	if s.position.Revision == 0 {
 		return
